--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,7 @@
+// cyclamenctl: the operators' command line.
+
+#include "cyclamenwind/ctl/commands.h"
+
+int main(int Count, char **Arguments) {
+  return cyclamenwind::ctl::run(Count, Arguments);
+}
--- /dev/null
+++ b/cyclamenwind/base/log.cpp
@@ -0,0 +1,86 @@
+#include "cyclamenwind/base/log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace cyclamenwind {
+namespace {
+
+const char LoggerName[] = "cyclamenwind";
+
+log4cplus::LogLevel levelOf(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Debug:
+    return log4cplus::DEBUG_LOG_LEVEL;
+  case LogLevel::Info:
+    return log4cplus::INFO_LOG_LEVEL;
+  case LogLevel::Warning:
+    return log4cplus::WARN_LOG_LEVEL;
+  case LogLevel::Error:
+    return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+// Keeps the library initialised for the life of the process.
+log4cplus::Initializer &initializer() {
+  static log4cplus::Initializer Instance;
+  return Instance;
+}
+
+// Quotes a value that would break the key=value form.
+std::string quoted(const std::string &Value) {
+  if (!Value.empty() &&
+      Value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
+    return Value;
+  std::string Text = "\"";
+  for (char C : Value) {
+    if (C == '\n' || C == '\r' || C == '\t') {
+      Text += ' ';
+      continue;
+    }
+    if (C == '"' || C == '\\')
+      Text += '\\';
+    Text += C;
+  }
+  return Text + '"';
+}
+
+} // namespace
+
+void startLog(LogLevel Level, const std::string &Member) {
+  initializer();
+  std::string Pattern =
+      "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p member=" + quoted(Member) +
+      " %m%n";
+  log4cplus::SharedAppenderPtr Appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
+  log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
+  Logger.removeAllAppenders();
+  Logger.addAppender(Appender);
+  Logger.setAdditivity(false);
+  Logger.setLogLevel(levelOf(Level));
+}
+
+void logEvent(LogLevel Level, std::string_view Event, LogFields Fields) {
+  initializer();
+  log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
+  if (!Logger.isEnabledFor(levelOf(Level)))
+    return;
+  std::string Line = "event=";
+  Line += Event;
+  for (const LogField &Field : Fields) {
+    Line += ' ';
+    Line += Field.Key;
+    Line += '=';
+    Line += quoted(Field.Value);
+  }
+  Logger.log(levelOf(Level), Line);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/base/loop.h
@@ -0,0 +1,46 @@
+// Loop: the libevent loop as Clock and Scheduler.
+
+#ifndef CYCLAMENWIND_BASE_LOOP_H
+#define CYCLAMENWIND_BASE_LOOP_H
+
+#include "cyclamenwind/base/scheduler.h"
+
+#include <vector>
+
+#include <event2/event.h>
+
+namespace cyclamenwind {
+
+class Loop final : public Clock, public Scheduler {
+public:
+  Loop();
+  ~Loop() override;
+  Loop(const Loop &) = delete;
+  Loop &operator=(const Loop &) = delete;
+
+  TimePoint now() const override;
+  WallTime wallNow() const override;
+  TimerHandle after(Duration Delay, std::function<void()> Action) override;
+  TimerHandle every(Duration Period, std::function<void()> Action) override;
+  void defer(std::function<void()> Action) override;
+
+  // Calls Action whenever Signal is delivered.
+  [[nodiscard]] TimerHandle onSignal(int Signal, std::function<void()> Action);
+
+  // Runs until stop().
+  void run();
+  void stop();
+
+  event_base *base() const { return Base; }
+
+private:
+  static void runDeferred(evutil_socket_t, short, void *Self);
+
+  event_base *Base;
+  event *DeferredEvent;
+  std::vector<std::function<void()>> Deferred;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/base/result.h
@@ -0,0 +1,24 @@
+// Result: a value or the error of one layer.
+//
+// Each layer defines an error of its own (an enum class with a table of names,
+// often with a message beside it) and converts the errors of the layer below.
+// Reading the wrong alternative terminates the process.
+
+#ifndef CYCLAMENWIND_BASE_RESULT_H
+#define CYCLAMENWIND_BASE_RESULT_H
+
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/result.hpp>
+
+namespace cyclamenwind {
+
+template <typename T, typename E>
+using Result =
+    boost::outcome_v2::basic_result<T, E, boost::outcome_v2::policy::terminate>;
+
+using boost::outcome_v2::failure;
+using boost::outcome_v2::success;
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -0,0 +1,144 @@
+#include "cyclamenwind/daemon/daemon.h"
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/config/acceptance.h"
+#include "cyclamenwind/config/store.h"
+#include "cyclamenwind/config/watcher.h"
+#include "cyclamenwind/membership/membership.h"
+#include "cyclamenwind/operators/api.h"
+#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/peer/tcp_transport.h"
+#include "cyclamenwind/platform/service.h"
+#include "cyclamenwind/traffic/caller_side.h"
+#include "cyclamenwind/traffic/server_side.h"
+#include "cyclamenwind/traffic/versions.h"
+
+#include <random>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration DrainCheckPeriod = 20ms;
+// How long after leaving a daemon still takes calls, so that all others have
+// heard that it left.
+constexpr Duration LeaveNoticeTime = 1500ms;
+
+uint64_t freshSeed() {
+  std::random_device Source;
+  return (uint64_t(Source()) << 32) | Source();
+}
+
+} // namespace
+
+std::string DaemonError::text() const {
+  return "error=address_in_use key=" + Key + " address=" + InUse.text() +
+         " message=\"the address cannot be bound\"";
+}
+
+Result<std::unique_ptr<Daemon>, DaemonError>
+Daemon::create(Loop &TheLoop, const Settings &TheSettings) {
+  std::unique_ptr<Daemon> Made(new Daemon(TheLoop, TheSettings));
+  Result<void, DaemonError> Bound = Made->bind();
+  if (!Bound)
+    return Bound.error();
+  return Made;
+}
+
+Daemon::Daemon(Loop &TheLoop, const Settings &TheSettings)
+    : TheLoop(TheLoop), TheSettings(TheSettings), Dice(freshSeed()),
+      Services(TheLoop, TheLoop, Dice) {
+  addServices();
+}
+
+Daemon::~Daemon() { Services.stop(); }
+
+void Daemon::addServices() {
+  int64_t Incarnation = TheLoop.wallNow().time_since_epoch().count();
+  Services.add(std::make_unique<PlatformService>(
+      TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform.Timeout));
+  Services.add(std::make_unique<Metrics>());
+  Services.add(std::make_unique<ConfigStore>());
+  Services.add(std::make_unique<PlatformWatcher>());
+  Services.add(std::make_unique<Acceptance>());
+  Services.add(std::make_unique<Announcements>(
+      TheSettings.Membership.AnnouncementLifetime));
+  Services.add(std::make_unique<Membership>(TheSettings, Incarnation));
+  Services.add(std::make_unique<AcceptedVersions>());
+  Services.add(std::make_unique<ServerSide>(
+      std::make_unique<HttpClient>(
+          TheLoop,
+          HttpClientOptions{
+              TheSettings.Traffic.MaxBodyBytes,
+              static_cast<size_t>(TheSettings.Traffic.ConnectionsPerServer)}),
+      TheSettings.Traffic));
+  Services.add(std::make_unique<CallerSide>(TheSettings));
+  Services.add(std::make_unique<OperatorApi>(TheSettings));
+}
+
+Result<void, DaemonError> Daemon::bind() {
+  const AddressSettings &Where = TheSettings.Addresses;
+  Result<std::unique_ptr<TcpTransport>, PeerTransportError> Peers =
+      TcpTransport::listen(TheLoop, Where.Peers);
+  if (!Peers)
+    return DaemonError{"addresses.peers", Where.Peers};
+  Services.add(std::move(Peers.value()));
+
+  HttpLimits Limits = {TheSettings.Traffic.MaxHeaderBytes,
+                       TheSettings.Traffic.MaxBodyBytes};
+  auto Callers = HttpServer::listen(
+      TheLoop, Where.Callers, Limits, [this](ExchangePtr Received) {
+        Services.find<CallerSide>("caller_side").accept(std::move(Received));
+      });
+  if (!Callers)
+    return DaemonError{"addresses.callers", Where.Callers};
+  CallerServer = std::move(Callers.value());
+
+  HttpLimits OperatorLimits = {TheSettings.Traffic.MaxHeaderBytes,
+                               2 * MaxDocumentBytes};
+  auto Operators = HttpServer::listen(
+      TheLoop, Where.Operators, OperatorLimits, [this](ExchangePtr Received) {
+        Services.find<OperatorApi>("operators").accept(std::move(Received));
+      });
+  if (!Operators)
+    return DaemonError{"addresses.operators", Where.Operators};
+  OperatorServer = std::move(Operators.value());
+  return success();
+}
+
+void Daemon::start() {
+  Services.start();
+  logInfo("daemon_started",
+          {{"callers", TheSettings.Addresses.Callers.text()},
+           {"peers", TheSettings.Addresses.Peers.text()},
+           {"operators", TheSettings.Addresses.Operators.text()},
+           {"failure_domain", TheSettings.Member.FailureDomain}});
+}
+
+void Daemon::shutdown() {
+  if (Draining) {
+    logWarning("daemon_stopped", {{"cause", "second request"}});
+    TheLoop.stop();
+    return;
+  }
+  Draining = true;
+  DrainBegun = TheLoop.now();
+  logInfo("daemon_draining");
+  Services.find<Membership>("membership").leave();
+  Services.find<OperatorApi>("operators").setDraining();
+  Services.find<CallerSide>("caller_side").refuseNew();
+  DrainTimer = TheLoop.every(DrainCheckPeriod, [this] { checkDrained(); });
+}
+
+void Daemon::checkDrained() {
+  Duration Elapsed = TheLoop.now() - DrainBegun;
+  size_t Active = Services.find<CallerSide>("caller_side").active() +
+                  Services.find<ServerSide>("server_side").active();
+  bool Finished = Active == 0 && Elapsed >= LeaveNoticeTime;
+  if (!Finished && Elapsed < TheSettings.Traffic.DrainLimit)
+    return;
+  logInfo("daemon_stopped", {{"cause", Finished ? "drained" : "drain limit"},
+                             {"calls_cut", Active}});
+  TheLoop.stop();
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/daemon/daemon.h
@@ -0,0 +1,64 @@
+// Daemon: one daemon, assembled from its services.
+//
+//   Result<std::unique_ptr<Daemon>, DaemonError> Made =
+//       Daemon::create(TheLoop, TheSettings);
+//   Made.value()->start();
+//   TheLoop.run();   // Until shutdown() has finished, or is called twice.
+
+#ifndef CYCLAMENWIND_DAEMON_DAEMON_H
+#define CYCLAMENWIND_DAEMON_DAEMON_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/base/loop.h"
+#include "cyclamenwind/base/settings.h"
+#include "cyclamenwind/http/server.h"
+
+namespace cyclamenwind {
+
+// An address that could not be bound.
+struct DaemonError {
+  std::string Key;
+  Address InUse;
+
+  // One line for the operator.
+  std::string text() const;
+};
+
+class Daemon {
+public:
+  static Result<std::unique_ptr<Daemon>, DaemonError>
+  create(Loop &TheLoop, const Settings &TheSettings);
+
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  void start();
+
+  // Leaves gracefully: takes no new work, finishes what runs within the drain
+  // limit, then stops the loop. A second call stops the loop at once.
+  void shutdown();
+
+  Kernel &kernel() { return Services; }
+
+private:
+  Daemon(Loop &TheLoop, const Settings &TheSettings);
+
+  Result<void, DaemonError> bind();
+  void addServices();
+  void checkDrained();
+
+  Loop &TheLoop;
+  Settings TheSettings;
+  Random Dice;
+  Kernel Services;
+  std::unique_ptr<HttpServer> CallerServer;
+  std::unique_ptr<HttpServer> OperatorServer;
+  TimerHandle DrainTimer;
+  TimePoint DrainBegun;
+  bool Draining = false;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/document/document.cpp
@@ -0,0 +1,283 @@
+#include "cyclamenwind/document/document.h"
+
+#include "cyclamenwind/base/names.h"
+#include "cyclamenwind/document/reader.h"
+
+#include <set>
+
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+namespace cyclamenwind {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t MaxServices = 1000;
+constexpr size_t MaxRoutes = 5000;
+constexpr size_t MaxMoves = 200;
+constexpr size_t MaxPathBytes = 1000;
+constexpr int64_t MaxDeadlineMs = 600000;
+
+constexpr std::array<EnumName<Priority>, 3> PriorityNames = {{
+    {Priority::Background, "background"},
+    {Priority::Normal, "normal"},
+    {Priority::Urgent, "urgent"},
+}};
+
+constexpr std::array<EnumName<SetTimeRule>, 2> RuleNames = {{
+    {SetTimeRule::TakeBack, "take-back"},
+    {SetTimeRule::StayUndecided, "stay-undecided"},
+}};
+
+constexpr std::array<std::string_view, 7> Methods = {
+    "", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+
+ServiceSpec readService(const json &Node, std::string Path,
+                        DocumentErrors &Errors) {
+  ObjectReader Reader(Node, std::move(Path), Errors);
+  ServiceSpec Spec;
+  Spec.Name = Reader.name("name");
+  Spec.Version = Reader.name("version");
+  Reader.finish();
+  return Spec;
+}
+
+void readMatch(const json &Node, std::string Path, RouteSpec &Spec,
+               DocumentErrors &Errors) {
+  ObjectReader Reader(Node, std::move(Path), Errors);
+  Spec.Method = Reader.textOr("method", MaxPathBytes, "");
+  if (std::find(Methods.begin(), Methods.end(), Spec.Method) == Methods.end())
+    Reader.fail("method", "must be GET, HEAD, POST, PUT, PATCH or DELETE");
+  Spec.PathPrefix = Reader.text("path_prefix", MaxPathBytes);
+  if (!Spec.PathPrefix.empty() && Spec.PathPrefix[0] != '/')
+    Reader.fail("path_prefix", "must begin with '/'");
+  Reader.finish();
+}
+
+// Reads an optional member whose values are the names in Table.
+template <typename E, size_t N>
+E readEnum(ObjectReader &Reader, const char *Key,
+           const std::array<EnumName<E>, N> &Table, E Default) {
+  std::string Text =
+      Reader.textOr(Key, MaxPathBytes, std::string(nameIn(Table, Default)));
+  std::optional<E> Value = valueIn(Table, Text);
+  if (Value)
+    return *Value;
+  std::string Choices;
+  for (const EnumName<E> &Entry : Table)
+    Choices += (Choices.empty() ? "" : ", ") + std::string(Entry.Name);
+  Reader.fail(Key, "must be one of: " + Choices);
+  return Default;
+}
+
+RouteSpec readRoute(const json &Node, std::string Path,
+                    DocumentErrors &Errors) {
+  ObjectReader Reader(Node, std::move(Path), Errors);
+  RouteSpec Spec;
+  Spec.Name = Reader.name("name");
+  Spec.Service = Reader.name("service");
+  if (const json *Match = Reader.required("match"))
+    readMatch(*Match, Reader.pathOf("match"), Spec, Errors);
+  Spec.Deadline = std::chrono::milliseconds(Reader.integerOr(
+      "deadline_ms", 1, MaxDeadlineMs, milliseconds(Spec.Deadline)));
+  Spec.Repeatable = Reader.booleanOr("repeatable", Spec.Repeatable);
+  Spec.Urgency = readEnum(Reader, "priority", PriorityNames, Spec.Urgency);
+  Reader.finish();
+  return Spec;
+}
+
+MoveSpec readMove(const json &Node, std::string Path, DocumentErrors &Errors) {
+  ObjectReader Reader(Node, std::move(Path), Errors);
+  MoveSpec Spec;
+  Spec.Name = Reader.name("name");
+  Spec.Service = Reader.name("service");
+  Spec.To = Reader.name("to");
+  Spec.DoneBy = Reader.time("done_by");
+  Spec.AtSetTime = readEnum(Reader, "at_set_time", RuleNames, Spec.AtSetTime);
+  Reader.finish();
+  return Spec;
+}
+
+template <typename Spec>
+void checkUniqueNames(const std::vector<Spec> &Specs, const char *Array,
+                      DocumentErrors &Errors) {
+  std::set<std::string_view> Seen;
+  for (size_t I = 0; I < Specs.size(); ++I)
+    if (!Specs[I].Name.empty() && !Seen.insert(Specs[I].Name).second)
+      Errors.push_back(
+          {"/" + std::string(Array) + "/" + std::to_string(I) + "/name",
+           "'" + Specs[I].Name + "' stands twice"});
+}
+
+template <typename Spec>
+void checkServiceNames(const Document &Value, const std::vector<Spec> &Specs,
+                       const char *Array, DocumentErrors &Errors) {
+  for (size_t I = 0; I < Specs.size(); ++I)
+    if (!Specs[I].Service.empty() && Value.service(Specs[I].Service) == nullptr)
+      Errors.push_back(
+          {"/" + std::string(Array) + "/" + std::to_string(I) + "/service",
+           "there is no service '" + Specs[I].Service + "'"});
+}
+
+void checkRouteMatches(const Document &Value, DocumentErrors &Errors) {
+  std::set<std::pair<std::string_view, std::string_view>> Seen;
+  for (size_t I = 0; I < Value.Routes.size(); ++I) {
+    const RouteSpec &Route = Value.Routes[I];
+    if (!Seen.insert({Route.Method, Route.PathPrefix}).second)
+      Errors.push_back({"/routes/" + std::to_string(I) + "/match",
+                        "another route has the same match"});
+  }
+}
+
+void checkMoves(const Document &Value, DocumentErrors &Errors) {
+  std::set<std::string_view> Moving;
+  for (size_t I = 0; I < Value.Moves.size(); ++I) {
+    const MoveSpec &Move = Value.Moves[I];
+    std::string Path = "/moves/" + std::to_string(I);
+    const ServiceSpec *Service = Value.service(Move.Service);
+    if (Service != nullptr && Service->Version == Move.To)
+      Errors.push_back({Path + "/to", "is the service's present version"});
+    if (!Moving.insert(Move.Service).second)
+      Errors.push_back({Path + "/service", "another move has this service"});
+  }
+}
+
+void checkWhole(const Document &Value, DocumentErrors &Errors) {
+  checkUniqueNames(Value.Services, "services", Errors);
+  checkUniqueNames(Value.Routes, "routes", Errors);
+  checkUniqueNames(Value.Moves, "moves", Errors);
+  checkServiceNames(Value, Value.Routes, "routes", Errors);
+  checkServiceNames(Value, Value.Moves, "moves", Errors);
+  checkRouteMatches(Value, Errors);
+  checkMoves(Value, Errors);
+}
+
+Document readDocument(const json &Node, const std::string &Path,
+                      DocumentErrors &Errors) {
+  ObjectReader Reader(Node, Path, Errors);
+  Document Value;
+  Reader.array("services", MaxServices, [&](const json &Each, std::string At) {
+    Value.Services.push_back(readService(Each, std::move(At), Errors));
+  });
+  Reader.array("routes", MaxRoutes, [&](const json &Each, std::string At) {
+    Value.Routes.push_back(readRoute(Each, std::move(At), Errors));
+  });
+  Reader.array("moves", MaxMoves, [&](const json &Each, std::string At) {
+    Value.Moves.push_back(readMove(Each, std::move(At), Errors));
+  });
+  Reader.finish();
+  checkWhole(Value, Errors);
+  return Value;
+}
+
+// Parses JSON of bounded size; nothing (and an error) if malformed.
+std::optional<json> parseJson(std::string_view Text, size_t MaxBytes,
+                              DocumentErrors &Errors) {
+  if (Text.size() > MaxBytes) {
+    Errors.push_back(
+        {"", "is larger than " + std::to_string(MaxBytes) + " bytes"});
+    return std::nullopt;
+  }
+  try {
+    return json::parse(Text);
+  } catch (const json::exception &Error) {
+    Errors.push_back({"", Error.what()});
+    return std::nullopt;
+  }
+}
+
+json jsonOf(const Document &Value) {
+  json Services = json::array();
+  for (const ServiceSpec &Each : Value.Services)
+    Services.push_back({{"name", Each.Name}, {"version", Each.Version}});
+  json Routes = json::array();
+  for (const RouteSpec &Each : Value.Routes) {
+    json Match = {{"path_prefix", Each.PathPrefix}};
+    if (!Each.Method.empty())
+      Match["method"] = Each.Method;
+    Routes.push_back({{"name", Each.Name},
+                      {"service", Each.Service},
+                      {"match", Match},
+                      {"deadline_ms", milliseconds(Each.Deadline)},
+                      {"repeatable", Each.Repeatable},
+                      {"priority", nameOf(Each.Urgency)}});
+  }
+  json Moves = json::array();
+  for (const MoveSpec &Each : Value.Moves)
+    Moves.push_back({{"name", Each.Name},
+                     {"service", Each.Service},
+                     {"to", Each.To},
+                     {"done_by", formatWallTime(Each.DoneBy)},
+                     {"at_set_time", nameOf(Each.AtSetTime)}});
+  return {{"services", Services}, {"routes", Routes}, {"moves", Moves}};
+}
+
+// Room for the envelope's own members.
+constexpr size_t EnvelopeOverheadBytes = 10 * 1000;
+
+} // namespace
+
+std::string_view nameOf(Priority Value) { return nameIn(PriorityNames, Value); }
+
+std::string_view nameOf(SetTimeRule Value) { return nameIn(RuleNames, Value); }
+
+const ServiceSpec *Document::service(std::string_view Name) const {
+  for (const ServiceSpec &Each : Services)
+    if (Each.Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+Result<Document, DocumentErrors> parseDocument(std::string_view Text) {
+  DocumentErrors Errors;
+  std::optional<json> Node = parseJson(Text, MaxDocumentBytes, Errors);
+  if (!Node)
+    return Errors;
+  Document Value = readDocument(*Node, "", Errors);
+  if (!Errors.empty())
+    return Errors;
+  return Value;
+}
+
+std::string formatDocument(const Document &Value) {
+  return jsonOf(Value).dump();
+}
+
+std::string formatEnvelope(const Envelope &Value) {
+  json Node = {{"version", Value.Version},
+               {"operation", Value.OperationId},
+               {"author", Value.Author},
+               {"written", formatWallTime(Value.Written)},
+               {"document", jsonOf(Value.Body)}};
+  return Node.dump();
+}
+
+Result<Envelope, DocumentErrors> parseEnvelope(std::string_view Text) {
+  DocumentErrors Errors;
+  std::optional<json> Node =
+      parseJson(Text, MaxDocumentBytes + EnvelopeOverheadBytes, Errors);
+  if (!Node)
+    return Errors;
+  Envelope Value;
+  ObjectReader Reader(*Node, "", Errors);
+  Value.Version =
+      static_cast<uint64_t>(Reader.integerOr("version", 1, INT64_MAX, 0));
+  if (Value.Version == 0 && Errors.empty())
+    Reader.fail("version", "is required");
+  Value.OperationId = Reader.name("operation");
+  Value.Author = Reader.textOr("author", MaxPathBytes, "");
+  Value.Written = Reader.time("written");
+  if (const json *Body = Reader.required("document"))
+    Value.Body = readDocument(*Body, "/document", Errors);
+  Reader.finish();
+  if (!Errors.empty())
+    return Errors;
+  return Value;
+}
+
+uint64_t digestOf(std::string_view Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/http/message.cpp
@@ -0,0 +1,55 @@
+#include "cyclamenwind/http/message.h"
+
+#include <array>
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
+
+namespace cyclamenwind {
+namespace {
+
+bool sameName(std::string_view A, std::string_view B) {
+  return A.size() == B.size() &&
+         evutil_ascii_strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
+constexpr std::array<std::string_view, 8> HopByHop = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+    "Trailer",    "Upgrade",    "Content-Length",   "Transfer-Encoding"};
+
+} // namespace
+
+const std::string *findHeader(const HttpHeaders &Headers,
+                              std::string_view Name) {
+  for (const HttpHeader &Each : Headers)
+    if (sameName(Each.Name, Name))
+      return &Each.Value;
+  return nullptr;
+}
+
+bool isHopByHop(std::string_view Name) {
+  for (std::string_view Each : HopByHop)
+    if (sameName(Each, Name))
+      return true;
+  return false;
+}
+
+std::string_view HttpRequest::path() const {
+  return std::string_view(Target).substr(0, Target.find('?'));
+}
+
+std::string HttpRequest::queryValue(std::string_view Name) const {
+  size_t Mark = Target.find('?');
+  if (Mark == std::string::npos)
+    return "";
+  evkeyvalq Pairs;
+  if (evhttp_parse_query_str(Target.c_str() + Mark + 1, &Pairs) != 0)
+    return "";
+  const char *Found = evhttp_find_header(&Pairs, std::string(Name).c_str());
+  std::string Value = Found == nullptr ? "" : Found;
+  evhttp_clear_headers(&Pairs);
+  return Value;
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/http/message.h
@@ -0,0 +1,47 @@
+// Messages of HTTP/1.1 as the library passes them around: whole, in memory.
+
+#ifndef CYCLAMENWIND_HTTP_MESSAGE_H
+#define CYCLAMENWIND_HTTP_MESSAGE_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenwind {
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// Value of the first header called Name (case-insensitive); null if absent.
+const std::string *findHeader(const HttpHeaders &Headers,
+                              std::string_view Name);
+
+// Whether the header concerns one connection only and must not be passed on.
+bool isHopByHop(std::string_view Name);
+
+struct HttpRequest {
+  std::string Method;
+  std::string Target; // Path and query as sent.
+  HttpHeaders Headers;
+  std::string Body;
+
+  // Target without its query.
+  std::string_view path() const;
+
+  // Decoded value of a query parameter; empty if absent.
+  std::string queryValue(std::string_view Name) const;
+};
+
+struct HttpResponse {
+  int Status = 0;
+  HttpHeaders Headers;
+  std::string Body;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/membership/announcements.cpp
@@ -0,0 +1,74 @@
+#include "cyclamenwind/membership/announcements.h"
+
+#include "cyclamenwind/base/log.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration ExpiryPeriod = 250ms;
+
+} // namespace
+
+void Announcements::start(Kernel &Host) {
+  Clock &Time = Host.clock();
+  ExpiryTimer = Host.scheduler().every(ExpiryPeriod,
+                                       [this, &Time] { expire(Time.now()); });
+}
+
+void Announcements::announce(const BackendServer &Server, TimePoint Now) {
+  Lease &Held = Leases[Server.Listen];
+  Held.Until = Now + Lifetime;
+  if (Held.Server == Server)
+    return;
+  Held.Server = Server;
+  logInfo("server_announced", {{"server", Server.Listen.text()},
+                               {"service", Server.Service},
+                               {"version", Server.Version},
+                               {"slots", Server.Slots},
+                               {"draining", Server.Draining ? 1 : 0}});
+  changed();
+}
+
+bool Announcements::withdraw(const Address &Listen) {
+  if (Leases.erase(Listen) == 0)
+    return false;
+  logInfo("server_withdrawn",
+          {{"server", Listen.text()}, {"cause", "requested"}});
+  changed();
+  return true;
+}
+
+void Announcements::expire(TimePoint Now) {
+  size_t Lapsed = std::erase_if(Leases, [Now](const auto &Entry) {
+    if (Entry.second.Until > Now)
+      return false;
+    logWarning("server_withdrawn",
+               {{"server", Entry.first.text()}, {"cause", "lease lapsed"}});
+    return true;
+  });
+  if (Lapsed > 0)
+    changed();
+}
+
+std::vector<BackendServer> Announcements::servers() const {
+  std::vector<BackendServer> List;
+  for (const auto &[Listen, Held] : Leases)
+    List.push_back(Held.Server);
+  return List;
+}
+
+const BackendServer *Announcements::find(const Address &Listen) const {
+  auto Found = Leases.find(Listen);
+  return Found == Leases.end() ? nullptr : &Found->second.Server;
+}
+
+void Announcements::onChange(std::function<void()> Handler) {
+  Handlers.push_back(std::move(Handler));
+}
+
+void Announcements::changed() {
+  for (const auto &Handler : Handlers)
+    Handler();
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/membership/codec.cpp
@@ -0,0 +1,78 @@
+#include "cyclamenwind/membership/codec.h"
+
+namespace cyclamenwind {
+namespace {
+
+wire::MemberState::type stateToWire(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return wire::MemberState::ALIVE;
+  case MemberState::Suspect:
+    return wire::MemberState::SUSPECT;
+  case MemberState::Left:
+    return wire::MemberState::LEFT;
+  case MemberState::Dead:
+    return wire::MemberState::DEAD;
+  }
+  return wire::MemberState::DEAD;
+}
+
+std::optional<MemberState> stateFromWire(wire::MemberState::type State) {
+  switch (State) {
+  case wire::MemberState::ALIVE:
+    return MemberState::Alive;
+  case wire::MemberState::SUSPECT:
+    return MemberState::Suspect;
+  case wire::MemberState::LEFT:
+    return MemberState::Left;
+  case wire::MemberState::DEAD:
+    return MemberState::Dead;
+  }
+  return std::nullopt;
+}
+
+wire::Offer offerToWire(const Offer &Value) {
+  wire::Offer Result;
+  Result.serviceName = Value.Service;
+  Result.serverVersion = Value.Version;
+  Result.slots = Value.Slots;
+  Result.draining = Value.Draining;
+  return Result;
+}
+
+} // namespace
+
+wire::MemberRecord toWire(const Member &Record) {
+  wire::MemberRecord Result;
+  Result.id = Record.Id;
+  Result.incarnation = Record.Incarnation;
+  Result.revision = Record.Revision;
+  Result.state = stateToWire(Record.State);
+  Result.peerAddress = Record.Peer.text();
+  Result.failureDomain = Record.FailureDomain;
+  for (const Offer &Each : Record.Offers)
+    Result.offers.push_back(offerToWire(Each));
+  Result.configVersion = static_cast<int64_t>(Record.ConfigVersion);
+  return Result;
+}
+
+std::optional<Member> fromWire(const wire::MemberRecord &Record) {
+  std::optional<Address> Peer = parseAddress(Record.peerAddress);
+  std::optional<MemberState> State = stateFromWire(Record.state);
+  if (!Peer || !State || Record.id.empty())
+    return std::nullopt;
+  Member Result;
+  Result.Id = Record.id;
+  Result.Incarnation = Record.incarnation;
+  Result.Revision = Record.revision;
+  Result.State = *State;
+  Result.Peer = *Peer;
+  Result.FailureDomain = Record.failureDomain;
+  for (const wire::Offer &Each : Record.offers)
+    Result.Offers.push_back(
+        {Each.serviceName, Each.serverVersion, Each.slots, Each.draining});
+  Result.ConfigVersion = static_cast<uint64_t>(Record.configVersion);
+  return Result;
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/membership/codec.h
@@ -0,0 +1,20 @@
+// Conversion between membership records and their wire form.
+
+#ifndef CYCLAMENWIND_MEMBERSHIP_CODEC_H
+#define CYCLAMENWIND_MEMBERSHIP_CODEC_H
+
+#include "cyclamenwind/membership/roster.h"
+#include "cyclamenwind/wire/gen-cpp/membership_types.h"
+
+#include <optional>
+
+namespace cyclamenwind {
+
+wire::MemberRecord toWire(const Member &Record);
+
+// Nothing if the record is malformed.
+std::optional<Member> fromWire(const wire::MemberRecord &Record);
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/operators/api.cpp
@@ -0,0 +1,236 @@
+#include "cyclamenwind/operators/api.h"
+
+#include "cyclamenwind/document/reader.h"
+
+#include <charconv>
+
+#include <openssl/crypto.h>
+
+namespace cyclamenwind {
+namespace {
+
+using nlohmann::json;
+
+constexpr int MaxSlots = 10000;
+
+bool sameSecret(const std::string &A, const std::string &B) {
+  return A.size() == B.size() &&
+         CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
+}
+
+std::optional<uint64_t> numberIn(const std::string &Text) {
+  uint64_t Value = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [Rest, Error] = std::from_chars(Text.data(), Last, Value);
+  if (Error != std::errc() || Rest != Last)
+    return std::nullopt;
+  return Value;
+}
+
+json statusOfMember(const Member &Record) {
+  json Offers = json::array();
+  for (const Offer &Each : Record.Offers)
+    Offers.push_back({{"service", Each.Service},
+                      {"version", Each.Version},
+                      {"slots", Each.Slots},
+                      {"draining", Each.Draining}});
+  return {{"id", Record.Id},
+          {"state", nameOf(Record.State)},
+          {"failure_domain", Record.FailureDomain},
+          {"peer", Record.Peer.text()},
+          {"config_version", Record.ConfigVersion},
+          {"servers", Offers}};
+}
+
+struct Announcement {
+  BackendServer Server;
+  DocumentErrors Errors;
+};
+
+Announcement parseAnnouncement(const std::string &Body) {
+  Announcement Parsed;
+  json Node = json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (Node.is_discarded()) {
+    Parsed.Errors.push_back({"", "is not JSON"});
+    return Parsed;
+  }
+  ObjectReader Reader(Node, "", Parsed.Errors);
+  std::string Listen = Reader.text("address", 100);
+  std::optional<Address> Where = parseAddress(Listen);
+  if (!Where)
+    Reader.fail("address", "must be an IP number and port");
+  else
+    Parsed.Server.Listen = *Where;
+  Parsed.Server.Service = Reader.name("service");
+  Parsed.Server.Version = Reader.name("version");
+  Parsed.Server.Slots =
+      static_cast<int>(Reader.integerOr("slots", 1, MaxSlots, 1));
+  Parsed.Server.Draining = Reader.booleanOr("draining", false);
+  Reader.finish();
+  return Parsed;
+}
+
+} // namespace
+
+void replyJson(const ExchangePtr &Received, int Status, const json &Body) {
+  Received->reply(
+      {Status, {{"Content-Type", "application/json"}}, Body.dump() + "\n"});
+}
+
+json jsonOf(const DocumentErrors &Errors) {
+  json List = json::array();
+  for (const DocumentError &Each : Errors)
+    List.push_back({{"path", Each.Path}, {"message", Each.Message}});
+  return List;
+}
+
+OperatorApi::OperatorApi(const Settings &TheSettings)
+    : TheSettings(TheSettings) {}
+
+void OperatorApi::start(Kernel &Host) {
+  Time = &Host.clock();
+  Dice = &Host.random();
+  Config = &Host.find<ConfigStore>("config");
+  Accepting = &Host.find<Acceptance>("acceptance");
+  Members = &Host.find<MembershipView>("membership");
+  Local = &Host.find<Announcements>("announcements");
+  Counters = &Host.find<Metrics>("metrics");
+  route("GET", "/metrics", [this](const ExchangePtr &Received) {
+    Counters->setConfigVersion(Config->version());
+    Received->reply({200,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     Counters->text()});
+  });
+  route("GET", "/healthz", [](const ExchangePtr &Received) {
+    Received->reply({200, {}, "ok\n"});
+  });
+  route("GET", "/readyz", [this](const ExchangePtr &Received) {
+    bool Ready = Config->version() > 0 && !Draining;
+    Received->reply({Ready ? 200 : 503, {}, Ready ? "ready\n" : "not ready\n"});
+  });
+  route("GET", "/status",
+        [this](const ExchangePtr &Received) { status(Received); });
+  route("GET", "/api/document", [this](const ExchangePtr &Received) {
+    if (!Config->current()) {
+      replyJson(Received, 404, {{"error", "no document is in force"}});
+      return;
+    }
+    Received->reply({200,
+                     {{"Content-Type", "application/json"}},
+                     Config->current()->text()});
+  });
+  route("POST", "/api/document",
+        [this](const ExchangePtr &Received) { acceptDocument(Received); });
+  route("PUT", "/announcements", [this](const ExchangePtr &Received) {
+    announce(Received, /*Withdraw=*/false);
+  });
+  route("DELETE", "/announcements", [this](const ExchangePtr &Received) {
+    announce(Received, /*Withdraw=*/true);
+  });
+}
+
+void OperatorApi::route(const std::string &Method, const std::string &Path,
+                        ExchangeHandler Handler) {
+  Routes[{Path, Method}] = std::move(Handler);
+}
+
+void OperatorApi::addStatus(const std::string &Key,
+                            std::function<json()> Provider) {
+  StatusParts[Key] = std::move(Provider);
+}
+
+void OperatorApi::accept(ExchangePtr Received) {
+  std::string Path(Received->request().path());
+  auto Found = Routes.find({Path, Received->request().Method});
+  if (Found != Routes.end()) {
+    Found->second(std::move(Received));
+    return;
+  }
+  auto SamePath = Routes.lower_bound({Path, ""});
+  bool Known = SamePath != Routes.end() && SamePath->first.first == Path;
+  replyJson(Received, Known ? 405 : 404,
+            {{"error", Known ? "method not allowed" : "no such path"}});
+}
+
+bool OperatorApi::authorised(const ExchangePtr &Received) const {
+  const std::string *Given =
+      findHeader(Received->request().Headers, "Authorization");
+  const std::string &Token = TheSettings.Operators.Token;
+  if (!Token.empty() && Given != nullptr &&
+      sameSecret(*Given, "Bearer " + Token))
+    return true;
+  replyJson(Received, 403,
+            {{"error", "this needs the operators' token "
+                       "(operators.token in the settings)"}});
+  return false;
+}
+
+void OperatorApi::status(const ExchangePtr &Received) {
+  json Roster = json::array();
+  for (const auto &[Id, Record] : Members->roster().members())
+    Roster.push_back(statusOfMember(Record));
+  json Body = {
+      {"member", TheSettings.Member.Id},
+      {"failure_domain", TheSettings.Member.FailureDomain},
+      {"config_version", Config->version()},
+      {"config_digest", Config->current() ? Config->current()->digest() : 0},
+      {"members", Roster}};
+  for (const auto &[Key, Provider] : StatusParts)
+    Body[Key] = Provider();
+  replyJson(Received, 200, Body);
+}
+
+void OperatorApi::acceptDocument(const ExchangePtr &Received) {
+  if (!authorised(Received))
+    return;
+  const HttpRequest &Request = Received->request();
+  Result<Document, DocumentErrors> Parsed = parseDocument(Request.Body);
+  if (!Parsed) {
+    replyJson(Received, 400, {{"errors", jsonOf(Parsed.error())}});
+    return;
+  }
+  AcceptanceRequest Wanted;
+  Wanted.Body = std::move(Parsed.value());
+  Wanted.Author = Request.queryValue("author");
+  Wanted.OperationId = Request.queryValue("operation");
+  if (Wanted.OperationId.empty())
+    Wanted.OperationId = std::to_string(Dice->next());
+  Wanted.Now = Time->wallNow();
+  std::string Base = Request.queryValue("base");
+  if (!Base.empty())
+    Wanted.Base = numberIn(Base);
+  if (!isName(Wanted.OperationId) || (!Base.empty() && !Wanted.Base)) {
+    replyJson(Received, 400, {{"error", "bad operation or base"}});
+    return;
+  }
+  Accepting->accept(
+      Wanted, [Received](Result<uint64_t, AcceptanceError> Outcome) {
+        if (Outcome) {
+          replyJson(Received, 200, {{"version", Outcome.value()}});
+          return;
+        }
+        const AcceptanceError &Error = Outcome.error();
+        json Body = {{"error", nameOf(Error.Code)}};
+        if (Error.Present)
+          Body["present"] = json::parse(formatEnvelope(*Error.Present));
+        bool Conflict = Error.Code == AcceptanceErrorCode::Conflict;
+        replyJson(Received, Conflict ? 409 : 503, Body);
+      });
+}
+
+void OperatorApi::announce(const ExchangePtr &Received, bool Withdraw) {
+  Announcement Parsed = parseAnnouncement(Received->request().Body);
+  if (!Parsed.Errors.empty()) {
+    replyJson(Received, 400, {{"errors", jsonOf(Parsed.Errors)}});
+    return;
+  }
+  if (Withdraw)
+    Local->withdraw(Parsed.Server.Listen);
+  else
+    Local->announce(Parsed.Server, Time->now());
+  replyJson(Received, 200,
+            {{"lifetime_ms",
+              milliseconds(TheSettings.Membership.AnnouncementLifetime)}});
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/peer/frame.h
@@ -0,0 +1,79 @@
+// Frames between daemons.
+//
+// On a stream a frame is a length of four octets (big endian, counting what
+// follows), a type octet, and a Thrift struct in compact encoding. A datagram
+// holds one frame without the length. The numbers of the types are grouped by
+// the service that handles them.
+
+#ifndef CYCLAMENWIND_PEER_FRAME_H
+#define CYCLAMENWIND_PEER_FRAME_H
+
+#include "cyclamenwind/base/result.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace cyclamenwind {
+
+enum class FrameType : uint8_t {
+  // Streams.
+  Hello = 1,
+  Heartbeat = 2,
+  // Calls.
+  CallRequest = 10,
+  CallReply = 11,
+  CallCancel = 12,
+  // Membership.
+  Gossip = 20,
+  RosterSync = 21,
+  // Configuration.
+  ConfigState = 30,
+  ConfigPull = 31,
+  ConfigSnapshot = 32,
+};
+
+// A body of the largest size with its headers.
+constexpr uint32_t MaxFrameBytes = 17 * 1024 * 1024;
+constexpr size_t MaxDatagramBytes = 1400;
+
+enum class FrameError { Malformed };
+
+// The compact encoding of Message.
+template <typename T> std::string encodeMessage(const T &Message) {
+  using namespace apache::thrift;
+  auto Buffer = std::make_shared<transport::TMemoryBuffer>();
+  protocol::TCompactProtocolT<transport::TMemoryBuffer> Protocol(Buffer);
+  Message.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+// Decodes a T; rejects malformed input and trailing octets.
+template <typename T>
+Result<T, FrameError> decodeMessage(std::string_view Payload) {
+  using namespace apache::thrift;
+  T Message;
+  try {
+    auto *Octets =
+        reinterpret_cast<uint8_t *>(const_cast<char *>(Payload.data()));
+    auto Buffer = std::make_shared<transport::TMemoryBuffer>(
+        Octets, static_cast<uint32_t>(Payload.size()));
+    protocol::TCompactProtocolT<transport::TMemoryBuffer> Protocol(
+        Buffer, static_cast<int32_t>(MaxFrameBytes),
+        static_cast<int32_t>(MaxFrameBytes));
+    Message.read(&Protocol);
+    if (Buffer->available_read() != 0)
+      return FrameError::Malformed;
+  } catch (const std::exception &) {
+    return FrameError::Malformed;
+  }
+  return Message;
+}
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -0,0 +1,261 @@
+#include "cyclamenwind/peer/tcp_transport.h"
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/wire/gen-cpp/peer_types.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/listener.h>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr int32_t ProtocolVersion = 1;
+constexpr Duration HeartbeatPeriod = 500ms;
+constexpr Duration SilenceLimit = 2s;
+constexpr Duration IdleLimit = 60s;
+constexpr int ListenBacklog = 1024;
+constexpr int DatagramBufferBytes = 1 << 20;
+
+size_t indexOf(FrameType Type) { return static_cast<uint8_t>(Type); }
+
+} // namespace
+
+Result<std::unique_ptr<TcpTransport>, PeerTransportError>
+TcpTransport::listen(Loop &TheLoop, const Address &Self) {
+  std::unique_ptr<TcpTransport> Transport(new TcpTransport(TheLoop, Self));
+  if (!Transport->bindStream() || !Transport->bindDatagrams())
+    return PeerTransportError::AddressInUse;
+  return Transport;
+}
+
+TcpTransport::TcpTransport(Loop &TheLoop, const Address &Self)
+    : TheLoop(TheLoop), Self(Self) {}
+
+TcpTransport::~TcpTransport() {
+  Links.clear();
+  if (Listener != nullptr)
+    evconnlistener_free(Listener);
+  if (DatagramEvent != nullptr)
+    event_free(DatagramEvent);
+  if (Datagrams >= 0)
+    ::close(Datagrams);
+}
+
+bool TcpTransport::bindStream() {
+  sockaddr_in Socket = Self.socketAddress();
+  Listener = evconnlistener_new_bind(
+      TheLoop.base(), &TcpTransport::accepted, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      ListenBacklog, reinterpret_cast<sockaddr *>(&Socket), sizeof Socket);
+  return Listener != nullptr;
+}
+
+bool TcpTransport::bindDatagrams() {
+  Datagrams = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in Socket = Self.socketAddress();
+  if (Datagrams < 0 || ::bind(Datagrams, reinterpret_cast<sockaddr *>(&Socket),
+                              sizeof Socket) != 0)
+    return false;
+  int Bytes = DatagramBufferBytes;
+  setsockopt(Datagrams, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
+  DatagramEvent = event_new(TheLoop.base(), Datagrams, EV_READ | EV_PERSIST,
+                            &TcpTransport::datagramReadable, this);
+  event_add(DatagramEvent, nullptr);
+  return true;
+}
+
+void TcpTransport::start(Kernel &Host) {
+  HeartbeatTimer = Host.scheduler().every(
+      HeartbeatPeriod, [this] { checkLinks(TheLoop.now()); });
+}
+
+void TcpTransport::handle(FrameType Type, FrameHandler Handler) {
+  Handlers[indexOf(Type)] = std::move(Handler);
+}
+
+void TcpTransport::onLinkDown(LinkDownHandler Handler) {
+  DownHandlers.push_back(std::move(Handler));
+}
+
+void TcpTransport::send(const Address &To, FrameType Type,
+                        std::string_view Payload) {
+  Link &TheLink = linkTo(To);
+  LastUsed[&TheLink] = TheLoop.now();
+  TheLink.send(Type, Payload);
+  count(Type, Payload.size());
+}
+
+void TcpTransport::sendDatagram(const Address &To, FrameType Type,
+                                std::string_view Payload) {
+  if (Payload.size() > MaxDatagramBytes) {
+    logWarning("datagram_dropped",
+               {{"type", int(indexOf(Type))}, {"bytes", Payload.size()}});
+    return;
+  }
+  std::string Frame(1, static_cast<char>(Type));
+  Frame += Payload;
+  sockaddr_in Socket = To.socketAddress();
+  ::sendto(Datagrams, Frame.data(), Frame.size(), 0,
+           reinterpret_cast<sockaddr *>(&Socket), sizeof Socket);
+  count(Type, Payload.size());
+}
+
+bool TcpTransport::linkUp(const Address &To) const {
+  auto Found = ByPeer.find(To);
+  return Found != ByPeer.end() && Found->second->connected();
+}
+
+FrameCount TcpTransport::sent(FrameType Type) const {
+  return Counts[indexOf(Type)];
+}
+
+Link &TcpTransport::linkTo(const Address &To) {
+  auto Found = ByPeer.find(To);
+  if (Found != ByPeer.end())
+    return *Found->second;
+  auto Created =
+      std::make_unique<Link>(TheLoop, static_cast<LinkOwner &>(*this), To);
+  Link *TheLink = Created.get();
+  Links[TheLink] = std::move(Created);
+  ByPeer[To] = TheLink;
+  wire::Hello Greeting;
+  Greeting.protocol = ProtocolVersion;
+  Greeting.peerAddress = Self.text();
+  std::string Payload = encodeMessage(Greeting);
+  TheLink->send(FrameType::Hello, Payload);
+  count(FrameType::Hello, Payload.size());
+  return *TheLink;
+}
+
+void TcpTransport::accepted(evconnlistener *, evutil_socket_t Descriptor,
+                            sockaddr *, int, void *Self) {
+  auto *Transport = static_cast<TcpTransport *>(Self);
+  auto Created = std::make_unique<Link>(
+      Transport->TheLoop, static_cast<LinkOwner &>(*Transport), Descriptor);
+  Link *TheLink = Created.get();
+  Transport->Links[TheLink] = std::move(Created);
+  Transport->LastUsed[TheLink] = Transport->TheLoop.now();
+}
+
+void TcpTransport::frame(Link &From, FrameType Type, std::string_view Payload) {
+  if (Type == FrameType::Hello) {
+    greet(From, Payload);
+    return;
+  }
+  if (!From.Peer) {
+    down(From);
+    return;
+  }
+  if (Type == FrameType::Heartbeat) {
+    answerHeartbeat(From, Payload);
+    return;
+  }
+  LastUsed[&From] = TheLoop.now();
+  dispatch(*From.Peer, Type, Payload);
+}
+
+void TcpTransport::greet(Link &From, std::string_view Payload) {
+  Result<wire::Hello, FrameError> Greeting =
+      decodeMessage<wire::Hello>(Payload);
+  std::optional<Address> Peer;
+  if (Greeting && Greeting.value().protocol == ProtocolVersion)
+    Peer = parseAddress(Greeting.value().peerAddress);
+  if (!Peer) {
+    logWarning("peer_rejected", {{"cause", "bad greeting"}});
+    down(From);
+    return;
+  }
+  From.Peer = Peer;
+  ByPeer.emplace(*Peer, &From);
+}
+
+void TcpTransport::answerHeartbeat(Link &From, std::string_view Payload) {
+  Result<wire::Heartbeat, FrameError> Beat =
+      decodeMessage<wire::Heartbeat>(Payload);
+  if (!Beat || Beat.value().reply)
+    return;
+  wire::Heartbeat Reply = Beat.value();
+  Reply.reply = true;
+  std::string Encoded = encodeMessage(Reply);
+  From.send(FrameType::Heartbeat, Encoded);
+  count(FrameType::Heartbeat, Encoded.size());
+}
+
+void TcpTransport::down(Link &Ended) {
+  std::unique_ptr<Link> Kept = std::move(Links[&Ended]);
+  Links.erase(&Ended);
+  LastUsed.erase(&Ended);
+  if (!Kept->Peer)
+    return;
+  auto Found = ByPeer.find(*Kept->Peer);
+  if (Found != ByPeer.end() && Found->second == &Ended)
+    ByPeer.erase(Found);
+  LinkEnd End = Kept->connected() ? LinkEnd::Lost : LinkEnd::NeverConnected;
+  for (const LinkDownHandler &Each : DownHandlers)
+    Each(*Kept->Peer, End);
+}
+
+// Ends silent and idle streams; sends a heartbeat on the others.
+void TcpTransport::checkLinks(TimePoint Now) {
+  std::vector<Link *> Ended;
+  wire::Heartbeat Beat;
+  Beat.sequence = ++HeartbeatSequence;
+  std::string Payload = encodeMessage(Beat);
+  for (auto &[Each, Owned] : Links) {
+    bool Silent = Now - Each->lastHeard() > SilenceLimit;
+    bool Idle = Now - LastUsed[Each] > IdleLimit;
+    if (Silent || Idle) {
+      Ended.push_back(Each);
+      continue;
+    }
+    if (!Each->connected())
+      continue;
+    Each->send(FrameType::Heartbeat, Payload);
+    count(FrameType::Heartbeat, Payload.size());
+  }
+  for (Link *Each : Ended)
+    if (Links.count(Each) != 0)
+      down(*Each);
+}
+
+void TcpTransport::count(FrameType Type, size_t Bytes) {
+  FrameCount &Total = Counts[indexOf(Type)];
+  ++Total.Frames;
+  Total.Bytes += Bytes;
+}
+
+void TcpTransport::dispatch(const Address &From, FrameType Type,
+                            std::string_view Payload) {
+  const FrameHandler &Handler = Handlers[indexOf(Type)];
+  if (!Handler) {
+    logWarning("frame_ignored",
+               {{"peer", From.text()}, {"type", int(indexOf(Type))}});
+    return;
+  }
+  Handler(From, Payload);
+}
+
+void TcpTransport::datagramReadable(evutil_socket_t, short, void *Self) {
+  static_cast<TcpTransport *>(Self)->receiveDatagrams();
+}
+
+void TcpTransport::receiveDatagrams() {
+  char Buffer[MaxDatagramBytes + 1];
+  for (;;) {
+    sockaddr_in Socket = {};
+    socklen_t Length = sizeof Socket;
+    ssize_t Bytes = ::recvfrom(Datagrams, Buffer, sizeof Buffer, 0,
+                               reinterpret_cast<sockaddr *>(&Socket), &Length);
+    if (Bytes < 0)
+      return;
+    if (Bytes == 0)
+      continue;
+    std::string_view Frame(Buffer, static_cast<size_t>(Bytes));
+    dispatch(addressOf(Socket), static_cast<FrameType>(Frame[0]),
+             Frame.substr(1));
+  }
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -0,0 +1,81 @@
+// TcpTransport: PeerTransport over TCP streams and UDP datagrams.
+//
+// Each stream begins with a Hello that names the sender's listening address, so
+// that both directions of a pair share a stream. Streams carry heartbeats; one
+// that is silent for SilenceLimit, or does not connect within it, is ended.
+// A stream without other traffic for IdleLimit is closed.
+
+#ifndef CYCLAMENWIND_PEER_TCP_TRANSPORT_H
+#define CYCLAMENWIND_PEER_TCP_TRANSPORT_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/peer/link.h"
+
+#include <array>
+#include <map>
+#include <vector>
+
+struct evconnlistener;
+
+namespace cyclamenwind {
+
+enum class PeerTransportError { AddressInUse };
+
+class TcpTransport final : public PeerTransport,
+                           public Service,
+                           private LinkOwner {
+public:
+  static Result<std::unique_ptr<TcpTransport>, PeerTransportError>
+  listen(Loop &TheLoop, const Address &Self);
+
+  ~TcpTransport() override;
+
+  std::string_view name() const override { return "peers"; }
+  void start(Kernel &Host) override;
+
+  void handle(FrameType Type, FrameHandler Handler) override;
+  void onLinkDown(LinkDownHandler Handler) override;
+  void send(const Address &To, FrameType Type,
+            std::string_view Payload) override;
+  void sendDatagram(const Address &To, FrameType Type,
+                    std::string_view Payload) override;
+  bool linkUp(const Address &To) const override;
+  FrameCount sent(FrameType Type) const override;
+  const Address &self() const override { return Self; }
+
+private:
+  TcpTransport(Loop &TheLoop, const Address &Self);
+
+  bool bindStream();
+  bool bindDatagrams();
+  void frame(Link &From, FrameType Type, std::string_view Payload) override;
+  void down(Link &Ended) override;
+  void greet(Link &From, std::string_view Payload);
+  void answerHeartbeat(Link &From, std::string_view Payload);
+  void checkLinks(TimePoint Now);
+  void count(FrameType Type, size_t Bytes);
+  void dispatch(const Address &From, FrameType Type, std::string_view Payload);
+  Link &linkTo(const Address &To);
+  void receiveDatagrams();
+  static void accepted(evconnlistener *, evutil_socket_t Descriptor, sockaddr *,
+                       int, void *Self);
+  static void datagramReadable(evutil_socket_t, short, void *Self);
+
+  Loop &TheLoop;
+  Address Self;
+  evconnlistener *Listener = nullptr;
+  evutil_socket_t Datagrams = -1;
+  event *DatagramEvent = nullptr;
+  std::array<FrameHandler, 256> Handlers;
+  std::array<FrameCount, 256> Counts = {};
+  std::vector<LinkDownHandler> DownHandlers;
+  std::map<Link *, std::unique_ptr<Link>> Links;
+  std::map<Address, Link *> ByPeer;
+  std::map<Link *, TimePoint> LastUsed;
+  TimerHandle HeartbeatTimer;
+  int64_t HeartbeatSequence = 0;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/traffic/caller_side.cpp
@@ -0,0 +1,324 @@
+#include "cyclamenwind/traffic/caller_side.h"
+
+#include "cyclamenwind/base/log.h"
+
+#include <charconv>
+
+#include <xxhash.h>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr int MaxAttempts = 4;
+constexpr int MaxUnknownAttempts = 2;
+// How long the caller's side waits past the deadline for the other side's word
+// on whether the request was run.
+constexpr Duration ReplyGrace = 50ms;
+
+CallEnd endOf(wire::CallEnd::type End) {
+  switch (End) {
+  case wire::CallEnd::ANSWERED:
+    return CallEnd::Answered;
+  case wire::CallEnd::REFUSED_NOT_RUN:
+    return CallEnd::Refused;
+  default:
+    return CallEnd::Unknown;
+  }
+}
+
+wire::CallReply failedReply(CallEnd End, CallReason Reason) {
+  wire::CallReply Reply;
+  Reply.ending = End == CallEnd::Refused ? wire::CallEnd::REFUSED_NOT_RUN
+                                         : wire::CallEnd::UNKNOWN;
+  Reply.reason = nameOf(Reason);
+  return Reply;
+}
+
+// The route's deadline, shortened by the caller's own; nothing if the caller's
+// is malformed.
+std::optional<Duration> deadlineOf(const RouteSpec &Route,
+                                   const HttpHeaders &Headers) {
+  const std::string *Asked = findHeader(Headers, DeadlineHeader);
+  if (Asked == nullptr)
+    return Route.Deadline;
+  int64_t Millis = 0;
+  const char *Last = Asked->data() + Asked->size();
+  auto [Rest, Error] = std::from_chars(Asked->data(), Last, Millis);
+  if (Error != std::errc() || Rest != Last || Millis <= 0 ||
+      Millis > milliseconds(Duration::max()))
+    return std::nullopt;
+  if (Millis >= milliseconds(Route.Deadline))
+    return Route.Deadline;
+  return std::chrono::milliseconds(Millis);
+}
+
+// Headers for the backend server: without those of one connection only, and
+// without the deadline, which is written anew.
+std::vector<wire::Header> forwardedHeaders(HttpHeaders Headers) {
+  std::vector<wire::Header> List;
+  for (HttpHeader &Each : Headers) {
+    if (isHopByHop(Each.Name) || findHeader({Each}, DeadlineHeader) != nullptr)
+      continue;
+    wire::Header Header;
+    Header.name = std::move(Each.Name);
+    Header.value = std::move(Each.Value);
+    List.push_back(std::move(Header));
+  }
+  return List;
+}
+
+HttpResponse failureResponse(CallEnd End, CallReason Reason) {
+  HttpResponse Response;
+  Response.Status = statusOf(End, Reason);
+  Response.Headers = {{EndHeader, std::string(nameOf(End))},
+                      {ReasonHeader, std::string(nameOf(Reason))},
+                      {"Content-Type", "text/plain"}};
+  Response.Body =
+      std::string(nameOf(End)) + ": " + std::string(nameOf(Reason)) + "\n";
+  return Response;
+}
+
+} // namespace
+
+CallerSide::CallerSide(const Settings &TheSettings)
+    : Self(TheSettings.Addresses.Peers),
+      FailureDomain(TheSettings.Member.FailureDomain) {}
+
+void CallerSide::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Config = &Host.find<ConfigStore>("config");
+  Members = &Host.find<MembershipView>("membership");
+  Peers = &Host.find<PeerTransport>("peers");
+  LocalSide = &Host.find<ServerSide>("server_side");
+  Versions = &Host.find<VersionChooser>("versions");
+  Counters = &Host.find<Metrics>("metrics");
+  Dice = &Host.random();
+  Balance = std::make_unique<Balancer>(FailureDomain, *Dice);
+  Peers->handle(FrameType::CallReply,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveReply(From, Payload);
+                });
+  Peers->onLinkDown(
+      [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
+}
+
+void CallerSide::accept(ExchangePtr Received) {
+  const HttpRequest &Request = Received->request();
+  SnapshotPtr Current = Config->current();
+  if (ShuttingDown || !Current) {
+    refuseAtOnce(Received, ShuttingDown ? CallReason::ShuttingDown
+                                        : CallReason::NotReady);
+    return;
+  }
+  const RouteSpec *Route = Current->route(Request.Method, Request.path());
+  if (Route == nullptr) {
+    refuseAtOnce(Received, CallReason::NoRoute);
+    return;
+  }
+  std::optional<Duration> Deadline = deadlineOf(*Route, Request.Headers);
+  if (!Deadline) {
+    refuseAtOnce(Received, CallReason::BadRequest);
+    return;
+  }
+  uint64_t Id = NextId++;
+  Call &Added = Calls[Id];
+  Added.Caller = Received;
+  Added.Config = Current;
+  Added.Route = Route;
+  Added.Target = Current->service(Route->Service);
+  Added.Deadline = Time->now() + *Deadline;
+  const std::string *Key = findHeader(Request.Headers, CallerKeyHeader);
+  Added.CallerHash =
+      Key == nullptr ? Dice->next() : XXH3_64bits(Key->data(), Key->size());
+  if (const std::string *Once =
+          findHeader(Request.Headers, IdempotencyKeyHeader))
+    Added.Request.idempotencyKey = *Once;
+  HttpRequest Taken = Received->takeRequest();
+  Added.Request.id = static_cast<int64_t>(Id);
+  Added.Request.serviceName = Route->Service;
+  Added.Request.route = Route->Name;
+  Added.Request.method = std::move(Taken.Method);
+  Added.Request.target = std::move(Taken.Target);
+  Added.Request.headers = forwardedHeaders(std::move(Taken.Headers));
+  Added.Request.body = std::move(Taken.Body);
+  Added.Request.repeatable = Route->Repeatable;
+  Added.Request.priority = static_cast<int32_t>(Route->Urgency);
+  Added.Timeout =
+      Timers->after(*Deadline + ReplyGrace, [this, Id] { timedOut(Id); });
+  Received->onPeerGone([this, Id] { callerLeft(Id); });
+  attempt(Id);
+}
+
+void CallerSide::refuseAtOnce(const ExchangePtr &Received, CallReason Reason) {
+  Counters->countCall("", CallEnd::Refused, Reason);
+  HttpResponse Response = failureResponse(CallEnd::Refused, Reason);
+  if (Reason == CallReason::ShuttingDown)
+    Response.Headers.push_back({"Connection", "close"});
+  Received->reply(Response);
+}
+
+void CallerSide::attempt(uint64_t Id) {
+  Call &Current = Calls.at(Id);
+  TimePoint Now = Time->now();
+  Current.Version =
+      Versions->versionFor(*Current.Target, *Current.Route, Current.CallerHash,
+                           /*PreferOld=*/Current.Attempts > 0, Now);
+  const Endpoint *Chosen = Balance->choose(
+      Members->endpoints(Current.Target->Name), Current.Version, Current.Tried);
+  if (Chosen == nullptr) {
+    CallEnd End =
+        Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
+    end(Id, End, Current.LastReason);
+    return;
+  }
+  ++Current.Attempts;
+  Current.Tried.insert(Chosen->MemberId);
+  Current.MemberId = Chosen->MemberId;
+  Current.Peer = Chosen->Peer;
+  Current.AttemptBegun = Now;
+  Current.Request.serverVersion = Current.Version;
+  Current.Request.remainingUs = (Current.Deadline - Now).count();
+  Balance->begun(Current.MemberId);
+  dispatch(Id);
+}
+
+void CallerSide::dispatch(uint64_t Id) {
+  Call &Current = Calls.at(Id);
+  if (Current.Peer != Self) {
+    Peers->sendMessage(Current.Peer, FrameType::CallRequest, Current.Request);
+    return;
+  }
+  int Attempt = Current.Attempts;
+  Current.LocalNumber = LocalSide->submit(
+      Current.Request, [this, Id, Attempt](wire::CallReply Reply) {
+        auto Found = Calls.find(Id);
+        if (Found != Calls.end() && Found->second.Attempts == Attempt)
+          attemptEnded(Id, Reply);
+      });
+}
+
+void CallerSide::receiveReply(const Address &From, std::string_view Payload) {
+  Result<wire::CallReply, FrameError> Reply =
+      decodeMessage<wire::CallReply>(Payload);
+  if (!Reply)
+    return;
+  uint64_t Id = static_cast<uint64_t>(Reply.value().id);
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end() || Found->second.Peer != From) {
+    Counters->countLateReply();
+    return;
+  }
+  attemptEnded(Id, Reply.value());
+}
+
+void CallerSide::linkDown(const Address &Peer, LinkEnd End) {
+  std::vector<uint64_t> Affected;
+  for (const auto &[Id, Each] : Calls)
+    if (Each.Peer == Peer)
+      Affected.push_back(Id);
+  wire::CallReply Reply =
+      End == LinkEnd::NeverConnected
+          ? failedReply(CallEnd::Refused, CallReason::DaemonDown)
+          : failedReply(CallEnd::Unknown, CallReason::ConnectionLost);
+  for (uint64_t Id : Affected)
+    attemptEnded(Id, Reply);
+}
+
+void CallerSide::attemptEnded(uint64_t Id, const wire::CallReply &Reply) {
+  Call &Current = Calls.at(Id);
+  Balance->ended(Current.MemberId);
+  Balance->reported(Current.MemberId, {Reply.inFlight, Reply.queued});
+  observe(Current, Reply);
+  CallEnd End = endOf(Reply.ending);
+  if (End == CallEnd::Answered) {
+    answer(Id, Reply);
+    return;
+  }
+  Current.Peer = {};
+  Current.LastReason = reasonCalled(Reply.reason);
+  if (End == CallEnd::Unknown)
+    ++Current.UnknownAttempts;
+  if (mayRetry(Current, End)) {
+    attempt(Id);
+    return;
+  }
+  CallEnd Told =
+      Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
+  end(Id, Told, Current.LastReason);
+}
+
+void CallerSide::observe(const Call &Ended, const wire::CallReply &Reply) {
+  TimePoint Now = Time->now();
+  AttemptOutcome Outcome;
+  Outcome.Service = Ended.Target->Name;
+  Outcome.Version = Ended.Version;
+  Outcome.Route = Ended.Route->Name;
+  Outcome.MemberId = Ended.MemberId;
+  Outcome.End = endOf(Reply.ending);
+  Outcome.Reason = reasonCalled(Reply.reason);
+  Outcome.Status = Reply.status;
+  Outcome.Latency = Now - Ended.AttemptBegun;
+  Versions->observe(Outcome, Now);
+}
+
+bool CallerSide::mayRetry(const Call &Candidate, CallEnd End) const {
+  if (Candidate.Attempts >= MaxAttempts || Time->now() >= Candidate.Deadline)
+    return false;
+  if (End == CallEnd::Refused)
+    return true;
+  return Candidate.Route->Repeatable &&
+         Candidate.UnknownAttempts < MaxUnknownAttempts;
+}
+
+void CallerSide::timedOut(uint64_t Id) {
+  Call &Current = Calls.at(Id);
+  cancelAttempt(Id, Current);
+  end(Id, CallEnd::Unknown, CallReason::DeadlinePassed);
+}
+
+void CallerSide::callerLeft(uint64_t Id) {
+  Call &Current = Calls.at(Id);
+  cancelAttempt(Id, Current);
+  end(Id, CallEnd::Unknown, CallReason::Cancelled);
+}
+
+void CallerSide::cancelAttempt(uint64_t Id, Call &Cancelled) {
+  Balance->ended(Cancelled.MemberId);
+  ++Cancelled.Attempts; // The attempt's own end is ignored from here on.
+  if (Cancelled.Peer == Self) {
+    LocalSide->cancel(Cancelled.LocalNumber);
+    return;
+  }
+  wire::CallCancel Message;
+  Message.id = static_cast<int64_t>(Id);
+  Peers->sendMessage(Cancelled.Peer, FrameType::CallCancel, Message);
+}
+
+void CallerSide::answer(uint64_t Id, const wire::CallReply &Reply) {
+  auto Found = Calls.find(Id);
+  Call Ended = std::move(Found->second);
+  Calls.erase(Found);
+  HttpResponse Response;
+  Response.Status = Reply.status;
+  for (const wire::Header &Each : Reply.headers)
+    Response.Headers.push_back({Each.name, Each.value});
+  Response.Headers.push_back({EndHeader, "answered"});
+  Response.Headers.push_back({RouteHeader, Ended.Route->Name});
+  Response.Headers.push_back({VersionHeader, Ended.Version});
+  Response.Body = Reply.body;
+  Counters->countCall(Ended.Route->Name, CallEnd::Answered, CallReason::None);
+  Ended.Caller->reply(Response);
+}
+
+void CallerSide::end(uint64_t Id, CallEnd End, CallReason Reason) {
+  auto Found = Calls.find(Id);
+  Call Ended = std::move(Found->second);
+  Calls.erase(Found);
+  Counters->countCall(Ended.Route->Name, End, Reason);
+  HttpResponse Response = failureResponse(End, Reason);
+  Response.Headers.push_back({RouteHeader, Ended.Route->Name});
+  Ended.Caller->reply(Response);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/traffic/caller_side.h
@@ -0,0 +1,97 @@
+// CallerSide: the half of a call that faces the caller.
+//
+// Accepts a caller's request, finds its route in the snapshot in force, chooses
+// version and endpoint, and sends the request to the daemon beside the chosen
+// backend server. A refused attempt is tried elsewhere while time is left, even
+// for requests that may not be repeated, since it was not run. An attempt of
+// unknown end is tried again only if the route is repeatable.
+
+#ifndef CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
+#define CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/base/settings.h"
+#include "cyclamenwind/config/store.h"
+#include "cyclamenwind/http/exchange.h"
+#include "cyclamenwind/membership/membership.h"
+#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/peer/transport.h"
+#include "cyclamenwind/traffic/balancer.h"
+#include "cyclamenwind/traffic/server_side.h"
+#include "cyclamenwind/traffic/versions.h"
+
+namespace cyclamenwind {
+
+// A service named "caller_side".
+class CallerSide final : public Service {
+public:
+  explicit CallerSide(const Settings &TheSettings);
+
+  std::string_view name() const override { return "caller_side"; }
+  void start(Kernel &Host) override;
+
+  // Takes one request from a caller.
+  void accept(ExchangePtr Received);
+
+  // Refuses new requests; those under way go on.
+  void refuseNew() { ShuttingDown = true; }
+
+  // Requests that have not been answered yet.
+  size_t active() const { return Calls.size(); }
+
+private:
+  struct Call {
+    ExchangePtr Caller;
+    SnapshotPtr Config; // Keeps Route and Service alive.
+    const RouteSpec *Route = nullptr;
+    const ServiceSpec *Target = nullptr;
+    wire::CallRequest Request;
+    uint64_t CallerHash = 0;
+    TimePoint Deadline;
+    int Attempts = 0;
+    int UnknownAttempts = 0;
+    std::set<std::string> Tried;
+    CallReason LastReason = CallReason::NoServer;
+    // The attempt under way.
+    std::string MemberId;
+    Address Peer;
+    std::string Version;
+    TimePoint AttemptBegun;
+    uint64_t LocalNumber = 0;
+    TimerHandle Timeout;
+  };
+
+  void refuseAtOnce(const ExchangePtr &Received, CallReason Reason);
+  void attempt(uint64_t Id);
+  void dispatch(uint64_t Id);
+  void receiveReply(const Address &From, std::string_view Payload);
+  void linkDown(const Address &Peer, LinkEnd End);
+  void attemptEnded(uint64_t Id, const wire::CallReply &Reply);
+  void observe(const Call &Ended, const wire::CallReply &Reply);
+  bool mayRetry(const Call &Candidate, CallEnd End) const;
+  void timedOut(uint64_t Id);
+  void callerLeft(uint64_t Id);
+  void cancelAttempt(uint64_t Id, Call &Cancelled);
+  void answer(uint64_t Id, const wire::CallReply &Reply);
+  void end(uint64_t Id, CallEnd End, CallReason Reason);
+
+  Address Self;
+  std::string FailureDomain;
+  Clock *Time = nullptr;
+  Scheduler *Timers = nullptr;
+  ConfigStore *Config = nullptr;
+  MembershipView *Members = nullptr;
+  PeerTransport *Peers = nullptr;
+  ServerSide *LocalSide = nullptr;
+  VersionChooser *Versions = nullptr;
+  Metrics *Counters = nullptr;
+  Random *Dice = nullptr;
+  std::unique_ptr<Balancer> Balance;
+  std::map<uint64_t, Call> Calls;
+  uint64_t NextId = 1;
+  bool ShuttingDown = false;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/traffic/ends.cpp
@@ -0,0 +1,54 @@
+#include "cyclamenwind/traffic/ends.h"
+
+#include "cyclamenwind/base/names.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr std::array<EnumName<CallEnd>, 3> EndNames = {{
+    {CallEnd::Answered, "answered"},
+    {CallEnd::Refused, "refused"},
+    {CallEnd::Unknown, "unknown"},
+}};
+
+constexpr std::array<EnumName<CallReason>, 15> ReasonNames = {{
+    {CallReason::None, "none"},
+    {CallReason::NotReady, "not_ready"},
+    {CallReason::NoRoute, "no_route"},
+    {CallReason::NoServer, "no_server"},
+    {CallReason::BadRequest, "bad_request"},
+    {CallReason::QueueFull, "queue_full"},
+    {CallReason::QueueTimeout, "queue_timeout"},
+    {CallReason::ServerLeft, "server_left"},
+    {CallReason::ServerDown, "server_down"},
+    {CallReason::DaemonDown, "daemon_down"},
+    {CallReason::ShuttingDown, "shutting_down"},
+    {CallReason::Cancelled, "cancelled"},
+    {CallReason::DeadlinePassed, "deadline_passed"},
+    {CallReason::ConnectionLost, "connection_lost"},
+    {CallReason::BadAnswer, "bad_answer"},
+}};
+
+} // namespace
+
+std::string_view nameOf(CallEnd End) { return nameIn(EndNames, End); }
+
+std::string_view nameOf(CallReason Reason) {
+  return nameIn(ReasonNames, Reason);
+}
+
+CallReason reasonCalled(std::string_view Name) {
+  return valueIn(ReasonNames, Name).value_or(CallReason::None);
+}
+
+int statusOf(CallEnd End, CallReason Reason) {
+  if (End == CallEnd::Unknown)
+    return Reason == CallReason::DeadlinePassed ? 504 : 502;
+  if (Reason == CallReason::NoRoute)
+    return 404;
+  if (Reason == CallReason::BadRequest)
+    return 400;
+  return 503;
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/traffic/server_side.cpp
@@ -0,0 +1,248 @@
+#include "cyclamenwind/traffic/server_side.h"
+
+#include "cyclamenwind/base/log.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration QueueCheckPeriod = 10ms;
+
+wire::CallReply replyWith(CallEnd End, CallReason Reason) {
+  wire::CallReply Reply;
+  Reply.ending = End == CallEnd::Refused ? wire::CallEnd::REFUSED_NOT_RUN
+                                         : wire::CallEnd::UNKNOWN;
+  Reply.reason = nameOf(Reason);
+  return Reply;
+}
+
+wire::CallReply answerWith(HttpResponse Response) {
+  wire::CallReply Reply;
+  Reply.ending = wire::CallEnd::ANSWERED;
+  Reply.status = Response.Status;
+  for (HttpHeader &Each : Response.Headers) {
+    if (isHopByHop(Each.Name))
+      continue;
+    wire::Header Header;
+    Header.name = std::move(Each.Name);
+    Header.value = std::move(Each.Value);
+    Reply.headers.push_back(std::move(Header));
+  }
+  Reply.body = std::move(Response.Body);
+  return Reply;
+}
+
+HttpRequest httpRequestOf(const wire::CallRequest &Request, Duration Left) {
+  HttpRequest Http;
+  Http.Method = Request.method;
+  Http.Target = Request.target;
+  for (const wire::Header &Each : Request.headers)
+    Http.Headers.push_back({Each.name, Each.value});
+  Http.Headers.push_back({DeadlineHeader, std::to_string(milliseconds(Left))});
+  Http.Body = Request.body;
+  return Http;
+}
+
+CallReason reasonOf(const HttpClientError &Error) {
+  if (!Error.Sent)
+    return Error.Code == HttpClientErrorCode::TimedOut
+               ? CallReason::QueueTimeout
+               : CallReason::ServerDown;
+  switch (Error.Code) {
+  case HttpClientErrorCode::TimedOut:
+    return CallReason::DeadlinePassed;
+  case HttpClientErrorCode::ResponseTooLarge:
+    return CallReason::BadAnswer;
+  default:
+    return CallReason::ConnectionLost;
+  }
+}
+
+} // namespace
+
+ServerSide::ServerSide(std::unique_ptr<HttpSender> Backends,
+                       const TrafficSettings &Options)
+    : Backends(std::move(Backends)), Options(Options) {}
+
+void ServerSide::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Local = &Host.find<Announcements>("announcements");
+  Peers = &Host.find<PeerTransport>("peers");
+  Local->onChange([this] { serversChanged(); });
+  Peers->handle(FrameType::CallRequest,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveRequest(From, Payload);
+                });
+  Peers->handle(FrameType::CallCancel,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveCancel(From, Payload);
+                });
+  ExpiryTimer = Timers->every(QueueCheckPeriod, [this] { expireQueues(); });
+}
+
+void ServerSide::stop() { ExpiryTimer.reset(); }
+
+uint64_t ServerSide::submit(const wire::CallRequest &Request,
+                            CallReplyDone Done) {
+  TimePoint Now = Time->now();
+  uint64_t Number = NextNumber++;
+  Call &Added = Calls[Number];
+  Added.Request = Request;
+  Added.Done = std::move(Done);
+  Added.Deadline = Now + Duration(Request.remainingUs);
+  const BackendServer *Chosen = chooseServer(Request);
+  if (Chosen == nullptr) {
+    refuseSoon(Number, CallReason::ServerLeft);
+    return Number;
+  }
+  Added.Target = Chosen->Listen;
+  AdmissionActions Actions;
+  AdmissionVerdict Verdict =
+      Servers.at(Chosen->Listen)
+          .Gate.offer(Number, static_cast<Priority>(Request.priority),
+                      Added.Deadline, Now, Actions);
+  if (Verdict == AdmissionVerdict::Run)
+    run(Number);
+  if (Verdict == AdmissionVerdict::Refused)
+    refuseSoon(Number, CallReason::QueueFull);
+  perform(Actions);
+  return Number;
+}
+
+void ServerSide::cancel(uint64_t Number) {
+  auto Found = Calls.find(Number);
+  if (Found == Calls.end())
+    return;
+  Call &Cancelled = Found->second;
+  if (!Cancelled.Admitted) {
+    auto Server = Servers.find(Cancelled.Target);
+    if (Server != Servers.end())
+      Server->second.Gate.withdraw(Number);
+    refuse(Number, CallReason::Cancelled);
+    return;
+  }
+  bool Sent = Cancelled.Http->sent();
+  finish(Number, Sent ? replyWith(CallEnd::Unknown, CallReason::Cancelled)
+                      : replyWith(CallEnd::Refused, CallReason::Cancelled));
+}
+
+void ServerSide::receiveRequest(const Address &From, std::string_view Payload) {
+  Result<wire::CallRequest, FrameError> Request =
+      decodeMessage<wire::CallRequest>(Payload);
+  if (!Request) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  int64_t Id = Request.value().id;
+  uint64_t Number =
+      submit(Request.value(), [this, From, Id](wire::CallReply Reply) {
+        FromPeers.erase({From, Id});
+        Reply.id = Id;
+        Peers->sendMessage(From, FrameType::CallReply, Reply);
+      });
+  FromPeers[{From, Id}] = Number;
+}
+
+void ServerSide::receiveCancel(const Address &From, std::string_view Payload) {
+  Result<wire::CallCancel, FrameError> Message =
+      decodeMessage<wire::CallCancel>(Payload);
+  if (!Message)
+    return;
+  auto Found = FromPeers.find({From, Message.value().id});
+  if (Found != FromPeers.end())
+    cancel(Found->second);
+}
+
+void ServerSide::serversChanged() {
+  for (const BackendServer &Each : Local->servers()) {
+    int QueueLimit = Each.Slots * Options.QueuePerSlot;
+    auto [Position, Inserted] =
+        Servers.try_emplace(Each.Listen, Server{{Each.Slots, QueueLimit}});
+    if (!Inserted)
+      Position->second.Gate.resize(Each.Slots, QueueLimit);
+  }
+}
+
+const BackendServer *
+ServerSide::chooseServer(const wire::CallRequest &Request) const {
+  const BackendServer *Best = nullptr;
+  int BestLoad = 0;
+  for (const auto &[Listen, Each] : Servers) {
+    const BackendServer *Known = Local->find(Listen);
+    if (Known == nullptr || Known->Draining ||
+        Known->Service != Request.serviceName ||
+        Known->Version != Request.serverVersion)
+      continue;
+    int Load = Each.Gate.running() + Each.Gate.queued();
+    if (Best == nullptr || Load < BestLoad) {
+      Best = Known;
+      BestLoad = Load;
+    }
+  }
+  return Best;
+}
+
+void ServerSide::run(uint64_t Number) {
+  Call &Started = Calls.at(Number);
+  Started.Admitted = true;
+  Duration Left = Started.Deadline - Time->now();
+  Started.Http = Backends->send(
+      Started.Target, httpRequestOf(Started.Request, Left), Left,
+      [this, Number](Result<HttpResponse, HttpClientError> Outcome) {
+        completed(Number, std::move(Outcome));
+      });
+}
+
+void ServerSide::completed(uint64_t Number,
+                           Result<HttpResponse, HttpClientError> Outcome) {
+  if (Outcome) {
+    finish(Number, answerWith(std::move(Outcome.value())));
+    return;
+  }
+  CallEnd End = Outcome.error().Sent ? CallEnd::Unknown : CallEnd::Refused;
+  finish(Number, replyWith(End, reasonOf(Outcome.error())));
+}
+
+void ServerSide::perform(const AdmissionActions &Actions) {
+  for (uint64_t Number : Actions.Displaced)
+    refuse(Number, CallReason::QueueFull);
+  for (uint64_t Number : Actions.Expired)
+    refuse(Number, CallReason::QueueTimeout);
+  for (uint64_t Number : Actions.Run)
+    run(Number);
+}
+
+void ServerSide::expireQueues() {
+  TimePoint Now = Time->now();
+  for (auto &[Listen, Each] : Servers)
+    if (Each.Gate.queued() > 0)
+      perform(Each.Gate.expire(Now));
+}
+
+void ServerSide::refuse(uint64_t Number, CallReason Reason) {
+  finish(Number, replyWith(CallEnd::Refused, Reason));
+}
+
+void ServerSide::refuseSoon(uint64_t Number, CallReason Reason) {
+  Timers->defer([this, Number, Reason] { refuse(Number, Reason); });
+}
+
+void ServerSide::finish(uint64_t Number, wire::CallReply Reply) {
+  auto Found = Calls.find(Number);
+  if (Found == Calls.end())
+    return;
+  Call Ended = std::move(Found->second);
+  Calls.erase(Found);
+  auto Server = Servers.find(Ended.Target);
+  AdmissionActions Actions;
+  if (Server != Servers.end()) {
+    if (Ended.Admitted)
+      Actions = Server->second.Gate.finished(Number, Time->now());
+    Reply.inFlight = Server->second.Gate.running();
+    Reply.queued = Server->second.Gate.queued();
+  }
+  Ended.Done(std::move(Reply));
+  perform(Actions);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/traffic/versions.h
@@ -0,0 +1,54 @@
+// VersionChooser: which version of a service a call goes to, and where the
+// outcomes of calls are reported as evidence for or against a version.
+
+#ifndef CYCLAMENWIND_TRAFFIC_VERSIONS_H
+#define CYCLAMENWIND_TRAFFIC_VERSIONS_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/document/document.h"
+#include "cyclamenwind/traffic/ends.h"
+
+namespace cyclamenwind {
+
+// One attempt of a call, as the daemon that accepted the call saw it.
+struct AttemptOutcome {
+  std::string Service;
+  std::string Version;
+  std::string Route;
+  std::string MemberId;
+  CallEnd End = CallEnd::Answered;
+  CallReason Reason = CallReason::None;
+  int Status = 0; // When answered.
+  Duration Latency{};
+};
+
+// A service named "versions".
+class VersionChooser {
+public:
+  virtual ~VersionChooser() = default;
+
+  // The version that a call on Route goes to. CallerHash is the same for all
+  // attempts of a call and for all calls with one caller key; PreferOld is set
+  // on an attempt after a failed one.
+  virtual std::string versionFor(const ServiceSpec &Service,
+                                 const RouteSpec &Route, uint64_t CallerHash,
+                                 bool PreferOld, TimePoint Now) = 0;
+
+  virtual void observe(const AttemptOutcome &Outcome, TimePoint Now) = 0;
+};
+
+// Always the accepted version of the document.
+class AcceptedVersions final : public Service, public VersionChooser {
+public:
+  std::string_view name() const override { return "versions"; }
+  void start(Kernel &) override {}
+  std::string versionFor(const ServiceSpec &Service, const RouteSpec &,
+                         uint64_t, bool, TimePoint) override {
+    return Service.Version;
+  }
+  void observe(const AttemptOutcome &, TimePoint) override {}
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/wire/calls.thrift
@@ -0,0 +1,48 @@
+// Calls between the daemon that accepted a request and the daemon beside the
+// chosen backend server.
+namespace cpp cyclamenwind.wire
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+enum CallEnd {
+  ANSWERED = 1
+  REFUSED_NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+struct CallRequest {
+  1: i64 id
+  2: string serviceName
+  3: string serverVersion
+  4: string route
+  5: string method
+  6: string target
+  7: list<Header> headers
+  8: binary body
+  // Time left for the whole call, microseconds.
+  9: i64 remainingUs
+  10: bool repeatable
+  11: i32 priority
+  12: string idempotencyKey
+}
+
+struct CallReply {
+  1: i64 id
+  2: CallEnd ending
+  // HTTP status, when ending is ANSWERED.
+  3: i32 status
+  4: list<Header> headers
+  5: binary body
+  // Name of a CallReason, when ending is not ANSWERED.
+  6: string reason
+  // Calls in flight and queued at the backend server, for the next choice.
+  7: i32 inFlight
+  8: i32 queued
+}
+
+struct CallCancel {
+  1: i64 id
+}
--- /dev/null
+++ b/testing/backend_standin_main.cpp
@@ -0,0 +1,61 @@
+// backend_standin: a backend server for tests and the quickstart.
+
+#include "testing/backend_standin.h"
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace cyclamenwind;
+
+Address addressIn(const options::variables_map &Given, const char *Name) {
+  std::optional<Address> Parsed = parseAddress(Given[Name].as<std::string>());
+  if (!Parsed)
+    throw options::error(std::string("bad address in --") + Name);
+  return *Parsed;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  testing::BackendOptions Options;
+  int64_t WorkMs = 0;
+  int64_t FaultAfterMs = 0;
+  testing::BackendBehaviour &How = Options.Behaviour;
+  options::options_description Known("usage: backend_standin [options]");
+  Known.add_options()("listen", options::value<std::string>()->required())(
+      "daemon", options::value<std::string>()->required())(
+      "service", options::value(&Options.Service)->required())(
+      "version", options::value(&Options.Version)->required())(
+      "slots", options::value(&Options.Slots)->default_value(10))(
+      "seed", options::value(&Options.Seed)->default_value(1))(
+      "work-ms", options::value(&WorkMs)->default_value(5))(
+      "fail-rate", options::value(&How.FailRate)->default_value(0))(
+      "slow-factor", options::value(&How.SlowFactor)->default_value(1))(
+      "fault-after-ms", options::value(&FaultAfterMs)->default_value(0))(
+      "fault-above-running",
+      options::value(&How.FaultAboveRunning)->default_value(0))(
+      "fault-path", options::value(&How.FaultPath)->default_value(""));
+  try {
+    options::variables_map Given;
+    options::store(options::parse_command_line(Count, Arguments, Known), Given);
+    options::notify(Given);
+    Options.Listen = addressIn(Given, "listen");
+    Options.Daemon = addressIn(Given, "daemon");
+  } catch (const options::error &Error) {
+    std::cerr << Error.what() << "\n" << Known;
+    return 2;
+  }
+  How.Work = std::chrono::milliseconds(WorkMs);
+  How.FaultAfter = std::chrono::milliseconds(FaultAfterMs);
+  Loop TheLoop;
+  testing::BackendStandin Standin(TheLoop, Options);
+  TimerHandle OnTerm = TheLoop.onSignal(SIGTERM, [&] { Standin.drain(); });
+  TheLoop.run();
+  return 0;
+}
--- /dev/null
+++ b/testing/fake_platform.cpp
@@ -0,0 +1,127 @@
+#include "testing/fake_platform.h"
+
+namespace cyclamenwind::testing {
+
+void FakePlatform::deliver(std::function<void()> Action) {
+  uint64_t Id = NextId++;
+  double Factor = 1 + Spread * Dice.fraction();
+  Duration Wait(static_cast<int64_t>(Delay.count() * Factor));
+  Pending[Id] = Timers.after(Wait, [this, Id, Action = std::move(Action)] {
+    TimerHandle Fired = std::move(Pending[Id]);
+    Pending.erase(Id);
+    Action();
+  });
+}
+
+void FakePlatform::wake() {
+  for (auto Each = Watches.begin(); Each != Watches.end();) {
+    Result<WatchBatch, PlatformError> Batch =
+        Store.changes(Each->Prefix, Each->After);
+    if (Batch && Batch.value().Changes.empty()) {
+      ++Each;
+      continue;
+    }
+    deliver([Done = Each->Done, Batch] { Done(Batch); });
+    Each = Watches.erase(Each);
+  }
+}
+
+void FakePlatform::expireWatch(uint64_t Id) {
+  TimerHandle Fired = std::move(Pending[Id]);
+  Pending.erase(Id);
+  auto Found = std::find_if(Watches.begin(), Watches.end(),
+                            [Id](const Watch &Each) { return Each.Id == Id; });
+  if (Found == Watches.end())
+    return;
+  PlatformDone<WatchBatch> Done = Found->Done;
+  WatchBatch Empty;
+  Empty.Revision = Store.revision();
+  Watches.erase(Found);
+  Done(std::move(Empty));
+}
+
+template <typename T>
+void FakePlatformClient::answer(
+    PlatformDone<T> Done, std::function<Result<T, PlatformError>()> Operation,
+    bool IsWrite) {
+  if (!reachable()) {
+    Shared.deliver([Done = std::move(Done), Alive = this->Alive] {
+      if (*Alive)
+        Done(PlatformError::Unreachable);
+    });
+    return;
+  }
+  ++(IsWrite ? Shared.Writes : Shared.Reads);
+  Shared.deliver([this, Done = std::move(Done), Alive = this->Alive,
+                  Operation = std::move(Operation), IsWrite] {
+    Result<T, PlatformError> Outcome = Operation();
+    if (IsWrite)
+      Shared.wake();
+    bool Lost = IsWrite && Shared.LoseAnswers > 0;
+    if (Lost)
+      --Shared.LoseAnswers;
+    Shared.deliver([Done, Alive, Outcome, Lost] {
+      if (*Alive)
+        Done(Lost ? Result<T, PlatformError>(PlatformError::NoAnswer)
+                  : Outcome);
+    });
+  });
+}
+
+void FakePlatformClient::read(const std::string &Key,
+                              PlatformDone<PlatformObject> Done) {
+  answer<PlatformObject>(
+      std::move(Done), [this, Key] { return Shared.Store.read(Key); }, false);
+}
+
+void FakePlatformClient::list(const std::string &Prefix,
+                              PlatformDone<PlatformListing> Done) {
+  answer<PlatformListing>(
+      std::move(Done),
+      [this, Prefix]() -> Result<PlatformListing, PlatformError> {
+        return Shared.Store.list(Prefix);
+      },
+      false);
+}
+
+void FakePlatformClient::write(const std::string &Key, const std::string &Value,
+                               uint64_t IfVersion,
+                               PlatformDone<uint64_t> Done) {
+  answer<uint64_t>(
+      std::move(Done),
+      [this, Key, Value, IfVersion] {
+        return Shared.Store.write(Key, Value, IfVersion);
+      },
+      true);
+}
+
+void FakePlatformClient::remove(const std::string &Key, uint64_t IfVersion,
+                                PlatformDone<uint64_t> Done) {
+  answer<uint64_t>(
+      std::move(Done),
+      [this, Key, IfVersion] { return Shared.Store.remove(Key, IfVersion); },
+      true);
+}
+
+void FakePlatformClient::watch(const std::string &Prefix, uint64_t Revision,
+                               Duration Wait, PlatformDone<WatchBatch> Done) {
+  ++Shared.WatchCalls;
+  auto Guarded = [this, Done = std::move(Done), Alive = this->Alive](
+                     Result<WatchBatch, PlatformError> Batch) {
+    if (*Alive)
+      Done(reachable()
+               ? std::move(Batch)
+               : Result<WatchBatch, PlatformError>(PlatformError::NoAnswer));
+  };
+  if (!reachable()) {
+    Shared.deliver([Guarded] { Guarded(PlatformError::Unreachable); });
+    return;
+  }
+  uint64_t Id = Shared.NextId++;
+  Shared.Watches.push_back({Id, Prefix, Revision, Guarded});
+  Shared.Pending[Id] = Shared.Timers.after(
+      Wait, [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
+  Shared.wake();
+}
+
+} // namespace cyclamenwind::testing
--- /dev/null
+++ b/testing/object_store.h
@@ -0,0 +1,47 @@
+// ObjectStore: objects with versions, as the platform keeps them.
+
+#ifndef CYCLAMENWIND_TESTING_OBJECT_STORE_H
+#define CYCLAMENWIND_TESTING_OBJECT_STORE_H
+
+#include "cyclamenwind/platform/client.h"
+
+#include <deque>
+#include <map>
+
+namespace cyclamenwind::testing {
+
+class ObjectStore {
+public:
+  Result<PlatformObject, PlatformError> read(const std::string &Key) const;
+  PlatformListing list(const std::string &Prefix) const;
+  Result<uint64_t, PlatformError>
+  write(const std::string &Key, const std::string &Value, uint64_t IfVersion);
+  Result<uint64_t, PlatformError> remove(const std::string &Key,
+                                         uint64_t IfVersion);
+
+  // Changes under Prefix after Revision; WatchGap if they were compacted.
+  Result<WatchBatch, PlatformError> changes(const std::string &Prefix,
+                                            uint64_t Revision) const;
+
+  // Forgets the history, so that older watches see a gap.
+  void compact();
+
+  uint64_t revision() const { return Revision; }
+
+private:
+  struct Entry {
+    uint64_t Revision;
+    PlatformChange Change;
+  };
+
+  void record(const PlatformChange &Change);
+
+  uint64_t Revision = 0;
+  uint64_t CompactedTo = 0;
+  std::map<std::string, PlatformObject> Objects;
+  std::deque<Entry> History;
+};
+
+} // namespace cyclamenwind::testing
+
+#endif
