--- a/cyclamenwind/base/address.h
+++ b/cyclamenwind/base/address.h
@@ -3,11 +3,11 @@
 #ifndef CYCLAMENWIND_BASE_ADDRESS_H
 #define CYCLAMENWIND_BASE_ADDRESS_H
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include <netinet/in.h>
 
@@ -17,7 +17,10 @@
   std::string Host;
   uint16_t Port = 0;
 
-  auto operator<=>(const Address &) const = default;
+  bool operator==(const Address &) const = default;
+  bool operator<(const Address &Other) const {
+    return std::tie(Host, Port) < std::tie(Other.Host, Other.Port);
+  }
 
   // "127.0.0.1:7000".
   std::string text() const;
--- /dev/null
+++ b/tests/fakes_test.cpp
@@ -0,0 +1,77 @@
+#include "testing/fake_peers.h"
+#include "testing/fake_platform.h"
+#include "testing/virtual_time.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::testing;
+
+TEST_CASE("virtual time runs timers in order") {
+  VirtualTime Time;
+  std::vector<int> Order;
+  TimerHandle Late = Time.after(20ms, [&] { Order.push_back(2); });
+  TimerHandle Early = Time.after(10ms, [&] { Order.push_back(1); });
+  TimerHandle Gone = Time.after(15ms, [&] { Order.push_back(9); });
+  Gone.reset();
+  Time.advance(30ms);
+  CHECK(Order == std::vector<int>{1, 2});
+}
+
+TEST_CASE("the fake platform writes conditionally and wakes watches") {
+  VirtualTime Time;
+  Random Dice(1);
+  FakePlatform Shared(Time, Dice);
+  FakePlatformClient Client(Shared);
+  size_t Seen = 0;
+  Client.watch("a/", 0, 1s, [&](Result<WatchBatch, PlatformError> Batch) {
+    Seen = Batch.value().Changes.size();
+  });
+  std::optional<PlatformError> Second;
+  Client.write("a/1", "x", 0, [](auto) {});
+  Client.write("a/1", "y", 0, [&](Result<uint64_t, PlatformError> Written) {
+    Second = Written.error();
+  });
+  Time.advance(100ms);
+  CHECK(Seen == 1);
+  CHECK(Second == PlatformError::Conflict);
+  CHECK(Shared.Store.read("a/1").value().Value == "x");
+}
+
+TEST_CASE("a lost answer leaves the write in place") {
+  VirtualTime Time;
+  Random Dice(1);
+  FakePlatform Shared(Time, Dice);
+  FakePlatformClient Client(Shared);
+  Shared.LoseAnswers = 1;
+  std::optional<PlatformError> Error;
+  Client.write("a", "x", 0, [&](Result<uint64_t, PlatformError> Written) {
+    Error = Written.error();
+  });
+  Time.advance(100ms);
+  CHECK(Error == PlatformError::NoAnswer);
+  CHECK(Shared.Store.read("a").value().Value == "x");
+}
+
+TEST_CASE("a cut between fake peers ends the stream") {
+  VirtualTime Time;
+  Random Dice(1);
+  FakeNetwork Network(Time, Time, Dice);
+  Address A = {"127.0.0.1", 1};
+  Address B = {"127.0.0.1", 2};
+  FakePeers PeersA(Network, A);
+  FakePeers PeersB(Network, B);
+  int Received = 0;
+  int Downs = 0;
+  PeersB.handle(FrameType::Gossip,
+                [&](const Address &, std::string_view) { ++Received; });
+  PeersA.onLinkDown([&](const Address &, LinkEnd) { ++Downs; });
+  PeersA.send(B, FrameType::Gossip, "x");
+  Time.advance(10ms);
+  CHECK(Received == 1);
+  Network.cut(A, B, true);
+  PeersA.send(B, FrameType::Gossip, "x");
+  Time.advance(10ms);
+  CHECK(Received == 1);
+  CHECK(Downs == 2);
+}
