--- a/cyclamenwind/base/log.cpp
+++ b/cyclamenwind/base/log.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenwind/base/log.h"
 
+#include <cstdio>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -53,6 +55,8 @@
 
 void startLog(LogLevel Level, const std::string &Member) {
   initializer();
+  // Writes each event with one system call.
+  std::setvbuf(stderr, nullptr, _IOLBF, BUFSIZ);
   std::string Pattern =
       "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p member=" + quoted(Member) +
       " %m%n";
--- a/cyclamenwind/base/loop.cpp
+++ b/cyclamenwind/base/loop.cpp
@@ -45,16 +45,19 @@
 
 } // namespace
 
-Loop::Loop() {
+Loop::Loop(TimerPrecision Precision) {
   std::signal(SIGPIPE, SIG_IGN);
   event_config *Config = event_config_new();
-  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  if (Precision == TimerPrecision::Precise)
+    event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_config_set_flag(Config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
   Base = event_base_new_with_config(Config);
   event_config_free(Config);
   DeferredEvent = event_new(Base, -1, 0, &Loop::runDeferred, this);
 }
 
 Loop::~Loop() {
+  Deferred.clear();
   event_free(DeferredEvent);
   event_base_free(Base);
 }
--- a/cyclamenwind/base/loop.h
+++ b/cyclamenwind/base/loop.h
@@ -11,9 +11,13 @@
 
 namespace cyclamenwind {
 
+// Precise timers cost a system call in each round of the loop; coarse ones may
+// be some milliseconds off.
+enum class TimerPrecision { Coarse, Precise };
+
 class Loop final : public Clock, public Scheduler {
 public:
-  Loop();
+  explicit Loop(TimerPrecision Precision = TimerPrecision::Coarse);
   ~Loop() override;
   Loop(const Loop &) = delete;
   Loop &operator=(const Loop &) = delete;
--- a/cyclamenwind/http/client.cpp
+++ b/cyclamenwind/http/client.cpp
@@ -220,7 +220,9 @@
 
 void HttpClient::discard(const Address &To, evhttp_connection *Connection) {
   --Pools[To].Open;
-  TheLoop.defer([Connection] { evhttp_connection_free(Connection); });
+  // Freed with the action, also if the loop ends before it runs.
+  std::shared_ptr<evhttp_connection> Owned(Connection, &evhttp_connection_free);
+  TheLoop.defer([Owned = std::move(Owned)]() mutable { Owned.reset(); });
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -1,4 +1,8 @@
-// Link: one stream to a peer over a bufferevent.
+// Link: one stream to a peer over a non-blocking socket.
+//
+// Frames sent during one round of the event loop are written together at its
+// end, with one system call. Received octets are parsed where they were read;
+// only a frame that came in parts is copied.
 
 #ifndef CYCLAMENWIND_PEER_LINK_H
 #define CYCLAMENWIND_PEER_LINK_H
@@ -6,7 +10,7 @@
 #include "cyclamenwind/base/loop.h"
 #include "cyclamenwind/peer/transport.h"
 
-struct bufferevent;
+struct evbuffer;
 
 namespace cyclamenwind {
 
@@ -43,14 +47,24 @@
 
 private:
   void open(evutil_socket_t Descriptor);
+  void beginConnecting(const Address &To);
+  void connectionReady();
+  void scheduleFlush();
+  void flush();
   void readFrames();
-  static void readable(bufferevent *, void *Self);
-  static void eventSeen(bufferevent *, short What, void *Self);
+  size_t parseFrames(std::string_view Octets);
+  void fail();
 
   Loop &TheLoop;
   LinkOwner &Owner;
-  bufferevent *Stream = nullptr;
+  evutil_socket_t Socket = -1;
+  event *ReadEvent = nullptr;
+  event *WriteEvent = nullptr;
+  event *FlushEvent = nullptr;
+  evbuffer *Output = nullptr;
+  std::string Partial; // Octets of a frame that has not come whole.
   bool Connected = false;
+  bool Failed = false;
   TimePoint Created;
   TimePoint LastHeard;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/testing/backend_standin_main.cpp
+++ b/testing/backend_standin_main.cpp
@@ -53,7 +53,7 @@
   }
   How.Work = std::chrono::milliseconds(WorkMs);
   How.FaultAfter = std::chrono::milliseconds(FaultAfterMs);
-  Loop TheLoop;
+  Loop TheLoop(TimerPrecision::Precise);
   testing::BackendStandin Standin(TheLoop, Options);
   TimerHandle OnTerm = TheLoop.onSignal(SIGTERM, [&] { Standin.drain(); });
   TheLoop.run();
--- a/testing/caller_standin_main.cpp
+++ b/testing/caller_standin_main.cpp
@@ -67,7 +67,7 @@
     return 2;
   }
   Options.Length = Duration(static_cast<int64_t>(Seconds * 1e6));
-  Loop TheLoop;
+  Loop TheLoop(TimerPrecision::Precise);
   testing::LoadResult Total;
   testing::Load Caller(TheLoop, Options,
                        [&](const testing::LoadResult &Result) {
