--- /dev/null
+++ b/testing/pausable.h
@@ -0,0 +1,93 @@
+// PausableProcess: the timers and the platform client of a process that can be
+// paused. While paused nothing runs; what fell due meanwhile runs on resuming.
+
+#ifndef CYCLAMENWIND_TESTING_PAUSABLE_H
+#define CYCLAMENWIND_TESTING_PAUSABLE_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/platform/client.h"
+
+namespace cyclamenwind::testing {
+
+class PausableProcess final : public Scheduler,
+                              public Service,
+                              public PlatformClient {
+public:
+  PausableProcess(Scheduler &Timers, PlatformClient &Platform)
+      : Timers(Timers), Platform(Platform) {}
+  ~PausableProcess() override { *Alive = false; }
+
+  std::string_view name() const override { return "platform"; }
+  void start(Kernel &) override {}
+
+  void pause() { Paused = true; }
+  void resume() {
+    Paused = false;
+    std::vector<std::function<void()>> Ready = std::move(Held);
+    Held.clear();
+    for (const auto &Each : Ready)
+      Each();
+  }
+
+  TimerHandle after(Duration Delay, std::function<void()> Action) override {
+    return Timers.after(Delay, guarded(std::move(Action)));
+  }
+  TimerHandle every(Duration Period, std::function<void()> Action) override {
+    return Timers.every(Period, guarded(std::move(Action)));
+  }
+  void defer(std::function<void()> Action) override {
+    Timers.defer(guarded(std::move(Action)));
+  }
+
+  void read(const std::string &Key,
+            PlatformDone<PlatformObject> Done) override {
+    Platform.read(Key, answered(std::move(Done)));
+  }
+  void list(const std::string &Prefix,
+            PlatformDone<PlatformListing> Done) override {
+    Platform.list(Prefix, answered(std::move(Done)));
+  }
+  void write(const std::string &Key, const std::string &Value,
+             uint64_t IfVersion, PlatformDone<uint64_t> Done) override {
+    Platform.write(Key, Value, IfVersion, answered(std::move(Done)));
+  }
+  void remove(const std::string &Key, uint64_t IfVersion,
+              PlatformDone<uint64_t> Done) override {
+    Platform.remove(Key, IfVersion, answered(std::move(Done)));
+  }
+  void watch(const std::string &Prefix, uint64_t Revision, Duration Wait,
+             PlatformDone<WatchBatch> Done) override {
+    Platform.watch(Prefix, Revision, Wait, answered(std::move(Done)));
+  }
+
+private:
+  std::function<void()> guarded(std::function<void()> Action) {
+    return [this, Action = std::move(Action), Alive = this->Alive] {
+      if (!*Alive)
+        return;
+      if (Paused)
+        Held.push_back(Action);
+      else
+        Action();
+    };
+  }
+
+  template <typename T> PlatformDone<T> answered(PlatformDone<T> Done) {
+    return [this, Done = std::move(Done),
+            Alive = this->Alive](Result<T, PlatformError> Outcome) {
+      if (!*Alive)
+        return;
+      guarded([Done, Outcome] { Done(Outcome); })();
+    };
+  }
+
+  Scheduler &Timers;
+  PlatformClient &Platform;
+  bool Paused = false;
+  std::vector<std::function<void()>> Held;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenwind::testing
+
+#endif
