Platform client within a budget

Cause: the platform's rate grows more slowly than the fleet; a daemon's calls had no bound. Change: BudgetedPlatformClient (token bucket, three priorities with a reserve, queue with a deadline, backoff with jitter after refusals) around the HTTP client. A waiting watch takes one token. Conclusion: a daemon sends at most its burst and then its rate.

--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -55,7 +55,7 @@
 void Daemon::addServices() {
   int64_t Incarnation = TheLoop.wallNow().time_since_epoch().count();
   Services.add(std::make_unique<PlatformService>(
-      TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform.Timeout));
+      TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform, Dice));
   Services.add(std::make_unique<Metrics>());
   Services.add(std::make_unique<ConfigStore>());
   Services.add(std::make_unique<PlatformWatcher>());
--- /dev/null
+++ b/cyclamenwind/platform/budget.cpp
@@ -0,0 +1,168 @@
+#include "cyclamenwind/platform/budget.h"
+
+#include "cyclamenwind/base/backoff.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration RetryBase = 20ms;
+constexpr Duration RetryLimit = 2s;
+// Calls that may wait at each priority.
+constexpr size_t MaxWaiting = 256;
+
+} // namespace
+
+CallPriority priorityOf(std::string_view Key) {
+  if (Key.starts_with("relay/") || Key.starts_with("moves/"))
+    return CallPriority::Lease;
+  if (Key.starts_with("config/"))
+    return CallPriority::Document;
+  return CallPriority::Other;
+}
+
+BudgetedPlatformClient::BudgetedPlatformClient(PlatformClient &Inner,
+                                               Clock &Time, Scheduler &Timers,
+                                               Random &Dice,
+                                               const PlatformSettings &Options)
+    : Inner(Inner), Time(Time), Timers(Timers), Dice(Dice), Options(Options),
+      Bucket(Options.CallsPerSecond, Options.Burst) {}
+
+template <typename T>
+void BudgetedPlatformClient::submit(const std::string &Key,
+                                    PlatformDone<T> Done,
+                                    std::function<void(PlatformDone<T>)> Send) {
+  auto Finish = [this, Done,
+                 Guard = this->Alive](Result<T, PlatformError> Outcome) {
+    if (!*Guard)
+      return;
+    ended(!Outcome && (Outcome.error() == PlatformError::Overloaded ||
+                       Outcome.error() == PlatformError::Unreachable));
+    Done(std::move(Outcome));
+  };
+  auto Refuse = [Done] { Done(PlatformError::BudgetExhausted); };
+  auto &Queue = Queues[static_cast<size_t>(priorityOf(Key))];
+  if (Queue.size() >= MaxWaiting) {
+    Timers.defer(Refuse);
+    return;
+  }
+  Queue.push_back({Time.now() + Options.Timeout,
+                   [Send = std::move(Send), Finish] { Send(Finish); }, Refuse});
+  pump();
+}
+
+void BudgetedPlatformClient::ended(bool Failed) {
+  if (!Failed) {
+    Failures = 0;
+    return;
+  }
+  ++Failures;
+  PausedUntil =
+      Time.now() + backoffDelay(Failures, RetryBase, RetryLimit, Dice);
+}
+
+void BudgetedPlatformClient::pump() {
+  TimePoint Now = Time.now();
+  if (Now >= PausedUntil)
+    for (CallPriority Each :
+         {CallPriority::Lease, CallPriority::Document, CallPriority::Other})
+      while (trySend(Each, Now)) {
+      }
+  scheduleNext(Now);
+}
+
+bool BudgetedPlatformClient::trySend(CallPriority Priority, TimePoint Now) {
+  auto &Queue = Queues[static_cast<size_t>(Priority)];
+  if (Queue.empty() || Queue.front().Deadline <= Now ||
+      !Bucket.take(reserveOf(Priority), Now))
+    return false;
+  std::function<void()> Send = std::move(Queue.front().Send);
+  Queue.pop_front();
+  ++Sent;
+  Send();
+  return true;
+}
+
+void BudgetedPlatformClient::refuseLate(TimePoint Now) {
+  std::vector<std::function<void()>> Late;
+  for (auto &Queue : Queues)
+    while (!Queue.empty() && Queue.front().Deadline <= Now) {
+      Late.push_back(std::move(Queue.front().Refuse));
+      Queue.pop_front();
+    }
+  for (const auto &Each : Late)
+    Each();
+}
+
+// Wakes when the first waiting call can be sent or runs out of time.
+void BudgetedPlatformClient::scheduleNext(TimePoint Now) {
+  std::optional<Duration> Delay;
+  for (size_t I = 0; I < Queues.size(); ++I) {
+    if (Queues[I].empty())
+      continue;
+    double Reserve = reserveOf(static_cast<CallPriority>(I));
+    Duration Ready = std::max(Bucket.wait(Reserve, Now), PausedUntil - Now);
+    Duration Due = std::min(Ready, Queues[I].front().Deadline - Now);
+    Delay = std::min(Delay.value_or(Due), Due);
+  }
+  if (!Delay) {
+    Next.reset();
+    return;
+  }
+  Next = Timers.after(std::max(*Delay, Duration::zero()), [this] {
+    TimerHandle Fired = std::move(Next);
+    refuseLate(Time.now());
+    pump();
+  });
+}
+
+double BudgetedPlatformClient::reserveOf(CallPriority Priority) const {
+  constexpr double DocumentShare = 0.1;
+  constexpr double OtherShare = 0.3;
+  switch (Priority) {
+  case CallPriority::Lease:
+    return 0;
+  case CallPriority::Document:
+    return Options.Burst * DocumentShare;
+  default:
+    return Options.Burst * OtherShare;
+  }
+}
+
+void BudgetedPlatformClient::read(const std::string &Key,
+                                  PlatformDone<PlatformObject> Done) {
+  submit<PlatformObject>(Key, std::move(Done), [this, Key](auto Finish) {
+    Inner.read(Key, std::move(Finish));
+  });
+}
+
+void BudgetedPlatformClient::list(const std::string &Prefix,
+                                  PlatformDone<PlatformListing> Done) {
+  submit<PlatformListing>(Prefix, std::move(Done), [this, Prefix](auto Finish) {
+    Inner.list(Prefix, std::move(Finish));
+  });
+}
+
+void BudgetedPlatformClient::write(const std::string &Key,
+                                   const std::string &Value, uint64_t IfVersion,
+                                   PlatformDone<uint64_t> Done) {
+  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
+    Inner.write(Key, Value, IfVersion, std::move(Finish));
+  });
+}
+
+void BudgetedPlatformClient::remove(const std::string &Key, uint64_t IfVersion,
+                                    PlatformDone<uint64_t> Done) {
+  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
+    Inner.remove(Key, IfVersion, std::move(Finish));
+  });
+}
+
+void BudgetedPlatformClient::watch(const std::string &Prefix, uint64_t Revision,
+                                   Duration Wait,
+                                   PlatformDone<WatchBatch> Done) {
+  submit<WatchBatch>(Prefix, std::move(Done), [=, this](auto Finish) {
+    Inner.watch(Prefix, Revision, Wait, std::move(Finish));
+  });
+}
+
+} // namespace cyclamenwind
--- a/cyclamenwind/platform/lease.cpp
+++ b/cyclamenwind/platform/lease.cpp
@@ -116,7 +116,7 @@
       Key, formatLeaseRecord({Holder, Token}), IfVersion,
       [this, Sent, Alive = Running](Result<uint64_t, PlatformError> Outcome) {
         if (*Alive)
-          writeEnded(std::move(Outcome), Sent);
+          writeEnded(Outcome, Sent);
       });
 }
 
