--- a/cyclamenwind/operators/audit.h
+++ b/cyclamenwind/operators/audit.h
@@ -20,6 +20,9 @@
   std::string To;      // Version after.
   std::string Outcome; // Stable name, such as "done" or "lost_race".
   WallTime Time;
+  std::string Detail = {}; // What else is known, such as a digest or a cause.
+
+  bool operator==(const AuditEntry &) const = default;
 };
 
 // A service named "audit".
@@ -29,6 +32,7 @@
 
   // Adds an entry to the trail. The same decision recorded twice, by two
   // daemons or after a lost answer, is one entry: OperationId identifies it.
+  // Times of the same decision may differ by up to an hour.
   virtual void record(const std::string &OperationId,
                       const AuditEntry &Entry) = 0;
 };
--- /dev/null
+++ b/cyclamenwind/operators/audit_roll_up.h
@@ -0,0 +1,70 @@
+// AuditRollUp: replaces hours of the audit trail by counts in their days.
+//
+// A cursor on the platform says up to which hour this has been done. A run
+// walks from there to the hour that is no longer kept in detail: it seals the
+// hour, adds its counts to its day, and removes it. Every step is a conditional
+// update that may be repeated, so any number of daemons may run at once and a
+// run may end anywhere.
+
+#ifndef CYCLAMENWIND_OPERATORS_AUDIT_ROLL_UP_H
+#define CYCLAMENWIND_OPERATORS_AUDIT_ROLL_UP_H
+
+#include "cyclamenwind/operators/audit_objects.h"
+#include "cyclamenwind/platform/client.h"
+
+namespace cyclamenwind {
+
+// How long entries are kept one by one.
+constexpr Duration AuditDetailTime = std::chrono::hours(24 * 7);
+// How long the counts of a day are kept.
+constexpr Duration AuditSummaryTime = std::chrono::hours(24 * 60);
+
+class AuditRollUp {
+public:
+  explicit AuditRollUp(PlatformClient &Platform) : Platform(Platform) {}
+  ~AuditRollUp() { *Alive = false; }
+  AuditRollUp(const AuditRollUp &) = delete;
+  AuditRollUp &operator=(const AuditRollUp &) = delete;
+
+  // Starts a run unless one is under way.
+  void run(WallTime Now);
+
+  bool running() const { return Running; }
+
+private:
+  // Guards a callback against the end of this object.
+  template <typename T> PlatformDone<T> guarded(PlatformDone<T> Done) {
+    return [Done = std::move(Done), Alive = this->Alive](auto Outcome) {
+      if (*Alive)
+        Done(std::move(Outcome));
+    };
+  }
+
+  void readCursor();
+  void createCursor();
+  void nextHour();
+  void readHour();
+  void seal(const PlatformObject &Object, AuditHour Hour);
+  void readFollowing(const AuditHour &Hour, uint64_t HourVersion);
+  void readDay(const AuditHour &Hour, uint64_t HourVersion,
+               const AuditHour &Following);
+  void writeDay(const AuditDay &Day, uint64_t DayVersion, uint64_t HourVersion);
+  void removeHour(uint64_t HourVersion);
+  void removeOldDay();
+  void removeDayVersion(const std::string &Key, uint64_t Version);
+  void hourDone();
+  void writeCursor();
+  void finish() { Running = false; }
+
+  PlatformClient &Platform;
+  WallTime Now;
+  WallTime Cursor; // The next hour to roll up.
+  uint64_t CursorVersion = 0;
+  int HoursLeft = 0;
+  bool Running = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenwind
+
+#endif
