--- a/scripts/lib/mesh.py
+++ b/scripts/lib/mesh.py
@@ -51,7 +51,8 @@
         self.spawn(f"server-{member['id']}-{version}", "backend_standin",
                    "--listen", f"{ip}:{port}",
                    "--daemon", settings["addresses"]["operators"],
-                   "--service", service, "--version", version, *extra)
+                   "--service", service, "--version", version,
+                   "--trace", str(self.logs / "runs.trace"), *extra)
 
     def start(self):
         self.start_platform()
@@ -107,6 +108,28 @@
                 raise MeshError(f"{key} ended with status {status}, "
                                 f"see {self.logs}/{key}.log")
 
+    def signal(self, prefix, number):
+        """Sends a signal to processes without waiting for them."""
+        for key, process in self.processes.items():
+            if key.startswith(prefix):
+                process.send_signal(number)
+
+    def kill(self, prefix):
+        """Ends processes by SIGKILL."""
+        for key in [k for k in self.processes if k.startswith(prefix)]:
+            process = self.processes.pop(key)
+            process.kill()
+            process.wait()
+
+    def runs(self):
+        """How often each request id ran, by the backend servers' trace."""
+        counts = {}
+        trace = self.logs / "runs.trace"
+        for line in trace.read_text().splitlines() if trace.exists() else []:
+            request = line.split(" ")[0]
+            counts[request] = counts.get(request, 0) + 1
+        return counts
+
     def kill_all(self):
         for process in self.processes.values():
             process.kill()
@@ -114,11 +137,11 @@
         self.processes.clear()
 
 
-def get(address, path):
+def get(address, path, timeout=2):
     """Body of a GET; an empty string if it fails."""
     try:
         with urllib.request.urlopen(f"http://{address}{path}",
-                                    timeout=2) as response:
+                                    timeout=timeout) as response:
             return response.read().decode()
     except OSError:
         return ""
--- a/testing/backend_standin.cpp
+++ b/testing/backend_standin.cpp
@@ -30,6 +30,8 @@
     std::exit(1);
   }
   Server = std::move(Made.value());
+  if (!Options.Trace.empty())
+    Trace.open(Options.Trace, std::ios::app);
   AnnounceTimer = TheLoop.every(AnnouncePeriod, [this] { announce(); });
   announce();
 }
@@ -52,6 +54,8 @@
   const std::string *Given = findHeader(Request.Headers, RequestIdHeader);
   std::string Id = Given == nullptr ? "" : *Given;
   ++RunsById[Id];
+  if (Trace.is_open())
+    Trace << Id + " " + Request.Method + "\n" << std::flush;
   if (Draining)
     ++RunsAfterDrain;
   bool Faulty = faulty(Request);
--- a/testing/backend_standin.h
+++ b/testing/backend_standin.h
@@ -12,6 +12,8 @@
 #include "cyclamenwind/http/client.h"
 #include "cyclamenwind/http/server.h"
 
+#include <fstream>
+
 namespace cyclamenwind::testing {
 
 inline constexpr char RequestIdHeader[] = "X-Request-Id";
@@ -34,6 +36,7 @@
   std::string Version;
   int Slots = 10;
   uint64_t Seed = 1;
+  std::string Trace; // File that gets a line "ID METHOD" a run; empty: none.
   BackendBehaviour Behaviour;
 };
 
@@ -67,6 +70,7 @@
   std::map<std::string, int> RunsById;
   uint64_t Shed = 0;
   uint64_t Cancelled = 0;
+  std::ofstream Trace;
   TimePoint Started;
   TimePoint DrainBegun;
   uint64_t RunsAfterDrain = 0;
--- a/testing/backend_standin_main.cpp
+++ b/testing/backend_standin_main.cpp
@@ -34,6 +34,7 @@
       "version", options::value(&Options.Version)->required())(
       "slots", options::value(&Options.Slots)->default_value(10))(
       "seed", options::value(&Options.Seed)->default_value(1))(
+      "trace", options::value(&Options.Trace)->default_value(""))(
       "work-ms", options::value(&WorkMs)->default_value(5))(
       "fail-rate", options::value(&How.FailRate)->default_value(0))(
       "slow-factor", options::value(&How.SlowFactor)->default_value(1))(
--- a/testing/caller_standin_main.cpp
+++ b/testing/caller_standin_main.cpp
@@ -49,6 +49,7 @@
       "rate", options::value(&Options.PerSecond)->default_value(100))(
       "seconds", options::value(&Seconds)->default_value(1))(
       "name", options::value(&Options.Name)->default_value("caller"))(
+      "trace", options::value(&Options.Trace)->default_value(""))(
       "body-bytes", options::value(&Options.BodyBytes)->default_value(0));
   try {
     options::variables_map Given;
--- a/testing/load.cpp
+++ b/testing/load.cpp
@@ -27,6 +27,8 @@
            std::function<void(const LoadResult &)> Done)
     : TheLoop(TheLoop), Options(Options), Done(std::move(Done)),
       Client(TheLoop, {}), Begun(TheLoop.now()) {
+  if (!Options.Trace.empty())
+    Trace.open(Options.Trace);
   Pace = TheLoop.every(PacePeriod, [this] { sendDue(); });
 }
 
@@ -50,6 +52,7 @@
       Options.Daemons[Number / Options.Targets.size() % Options.Daemons.size()];
   Call &Added = Calls[Number];
   Added.Id = Options.Name + "-" + std::to_string(Number);
+  Added.Method = What.Method;
   Added.Begun = TheLoop.now();
   HttpRequest Request = {What.Method,
                          What.Target,
@@ -66,24 +69,25 @@
                  Result<HttpResponse, HttpClientError> Outcome) {
   Call Ended = std::move(Calls[Number]);
   Calls.erase(Number);
-  if (Outcome) {
-    count(Ended, Outcome.value());
-    return;
-  }
-  ++Total.Reasons[std::string(nameOf(Outcome.error().Code))];
-  if (Outcome.error().Sent)
-    ++Total.Unknown;
-  else
-    ++Total.Refused;
+  std::string End =
+      Outcome ? endOf(Ended, Outcome.value()) : endOf(Outcome.error());
+  if (Trace.is_open())
+    Trace << Ended.Id + " " + Ended.Method + " " + End + "\n";
 }
 
-void Load::count(const Call &Ended, const HttpResponse &Response) {
+std::string Load::endOf(const HttpClientError &Error) {
+  ++Total.Reasons[std::string(nameOf(Error.Code))];
+  ++(Error.Sent ? Total.Unknown : Total.Refused);
+  return std::string(nameOf(Error.Sent ? CallEnd::Unknown : CallEnd::Refused));
+}
+
+std::string Load::endOf(const Call &Ended, const HttpResponse &Response) {
   const std::string *End = findHeader(Response.Headers, EndHeader);
   const std::string *Reason = findHeader(Response.Headers, ReasonHeader);
   if (End != nullptr && *End != nameOf(CallEnd::Answered)) {
     ++(*End == nameOf(CallEnd::Refused) ? Total.Refused : Total.Unknown);
     ++Total.Reasons[Reason == nullptr ? "" : *Reason];
-    return;
+    return *End;
   }
   ++Total.Answered;
   if (Response.Status >= 500)
@@ -95,6 +99,7 @@
                Response.Body.ends_with('\n');
   if (!Shed && (Id == nullptr || *Id != Ended.Id || !Whole))
     ++Total.Mismatched;
+  return Shed ? "shed" : std::string(nameOf(CallEnd::Answered));
 }
 
 } // namespace cyclamenwind::testing
--- a/testing/load.h
+++ b/testing/load.h
@@ -6,6 +6,7 @@
 
 #include "cyclamenwind/http/client.h"
 
+#include <fstream>
 #include <map>
 #include <vector>
 
@@ -25,6 +26,8 @@
   // Prefix of the request ids, unique among callers.
   std::string Name = "caller";
   size_t BodyBytes = 0;
+  // File that gets a line "ID METHOD END" a call; empty: none.
+  std::string Trace;
 };
 
 struct LoadResult {
@@ -51,13 +54,15 @@
   struct Call {
     std::unique_ptr<HttpCall> Http;
     std::string Id;
+    std::string Method;
     TimePoint Begun;
   };
 
   void sendDue();
   void sendOne();
   void ended(uint64_t Number, Result<HttpResponse, HttpClientError> Outcome);
-  void count(const Call &Ended, const HttpResponse &Response);
+  std::string endOf(const Call &Ended, const HttpResponse &Response);
+  std::string endOf(const HttpClientError &Error);
 
   Loop &TheLoop;
   LoadOptions Options;
@@ -67,6 +72,7 @@
   TimerHandle Pace;
   std::map<uint64_t, Call> Calls;
   LoadResult Total;
+  std::ofstream Trace;
   bool Finished = false;
 };
 
