A run on an example deployment says if another one is under way

Cause: scripts/faults real saw version 4 where it expected 2: another run used the same addresses at the same time. Change: the mesh checks the platform's address before it starts. Conclusion: the fault was the run's, not the daemon's.

--- a/scripts/lib/mesh.py
+++ b/scripts/lib/mesh.py
@@ -55,6 +55,9 @@
                    "--trace", str(self.logs / "runs.trace"), *extra)
 
     def start(self):
+        if get(self.platform_address, "/counts"):
+            raise MeshError(f"{self.platform_address} is in use; is another "
+                            f"run of {self.name} under way?")
         self.start_platform()
         for path, settings in self.hosts:
             self.start_daemon(path, settings)
