Operators' API: access rules, audit trail, diff, explain, drain; lost races tell what differs

Cause: writes were guarded by the token alone, a lost race said only who won, and nothing read the audit trail. Change: operators/access decides on writes (token, cross-site, form content); document_api takes the document's paths out of api.cpp and leaves an audit entry for each attempt, made from the envelope so that any daemon can make it up; audit_api reads the trail; document/diff compares documents by resource; explain and drain paths.

--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include "cyclamenwind/config/watcher.h"
 #include "cyclamenwind/membership/membership.h"
 #include "cyclamenwind/operators/api.h"
+#include "cyclamenwind/operators/audit_api.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/tcp_transport.h"
 #include "cyclamenwind/platform/service.h"
@@ -57,6 +58,7 @@
   Services.add(std::make_unique<PlatformService>(
       TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform.Timeout));
   Services.add(std::make_unique<Metrics>());
+  Services.add(std::make_unique<AuditTrail>());
   Services.add(std::make_unique<ConfigStore>());
   Services.add(std::make_unique<PlatformWatcher>());
   Services.add(std::make_unique<Acceptance>());
@@ -73,6 +75,8 @@
       TheSettings.Traffic));
   Services.add(std::make_unique<CallerSide>(TheSettings));
   Services.add(std::make_unique<OperatorApi>(TheSettings));
+  Services.add(std::make_unique<DocumentApi>(TheSettings.Member.FailureDomain));
+  Services.add(std::make_unique<AuditApi>());
 }
 
 Result<void, DaemonError> Daemon::bind() {
@@ -107,6 +111,7 @@
 
 void Daemon::start() {
   Services.start();
+  Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
            {"peers", TheSettings.Addresses.Peers.text()},
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -1,10 +1,8 @@
 #include "cyclamenwind/operators/api.h"
 
+#include "cyclamenwind/base/log.h"
 #include "cyclamenwind/document/reader.h"
-
-#include <charconv>
-
-#include <openssl/crypto.h>
+#include "cyclamenwind/operators/access.h"
 
 namespace cyclamenwind {
 namespace {
@@ -13,20 +11,6 @@
 
 constexpr int MaxSlots = 10000;
 
-bool sameSecret(const std::string &A, const std::string &B) {
-  return A.size() == B.size() &&
-         CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
-}
-
-std::optional<uint64_t> numberIn(const std::string &Text) {
-  uint64_t Value = 0;
-  const char *Last = Text.data() + Text.size();
-  auto [Rest, Error] = std::from_chars(Text.data(), Last, Value);
-  if (Error != std::errc() || Rest != Last)
-    return std::nullopt;
-  return Value;
-}
-
 json statusOfMember(const Member &Record) {
   json Offers = json::array();
   for (const Offer &Each : Record.Offers)
@@ -89,9 +73,7 @@
 
 void OperatorApi::start(Kernel &Host) {
   Time = &Host.clock();
-  Dice = &Host.random();
   Config = &Host.find<ConfigStore>("config");
-  Accepting = &Host.find<Acceptance>("acceptance");
   Members = &Host.find<MembershipView>("membership");
   Local = &Host.find<Announcements>("announcements");
   Counters = &Host.find<Metrics>("metrics");
@@ -110,17 +92,8 @@
   });
   route("GET", "/status",
         [this](const ExchangePtr &Received) { status(Received); });
-  route("GET", "/api/document", [this](const ExchangePtr &Received) {
-    if (!Config->current()) {
-      replyJson(Received, 404, {{"error", "no document is in force"}});
-      return;
-    }
-    Received->reply({200,
-                     {{"Content-Type", "application/json"}},
-                     Config->current()->text()});
-  });
-  route("POST", "/api/document",
-        [this](const ExchangePtr &Received) { acceptDocument(Received); });
+  route("POST", "/api/drain",
+        [this](const ExchangePtr &Received) { drain(Received); });
   route("PUT", "/announcements", [this](const ExchangePtr &Received) {
     announce(Received, /*Withdraw=*/false);
   });
@@ -153,18 +126,29 @@
 }
 
 bool OperatorApi::authorised(const ExchangePtr &Received) const {
-  const std::string *Given =
-      findHeader(Received->request().Headers, "Authorization");
-  const std::string &Token = TheSettings.Operators.Token;
-  if (!Token.empty() && Given != nullptr &&
-      sameSecret(*Given, "Bearer " + Token))
+  const HttpRequest &Request = Received->request();
+  AccessDecision Decision = checkWrite(Request, TheSettings.Operators.Token);
+  if (Decision == AccessDecision::Granted)
     return true;
+  logWarning("write_refused",
+             {{"path", Request.path()}, {"cause", nameOf(Decision)}});
   replyJson(Received, 403,
-            {{"error", "this needs the operators' token "
-                       "(operators.token in the settings)"}});
+            {{"error", nameOf(Decision)}, {"advice", adviceFor(Decision)}});
   return false;
 }
 
+void OperatorApi::drain(const ExchangePtr &Received) {
+  if (!authorised(Received))
+    return;
+  if (!Drain) {
+    replyJson(Received, 503, {{"error", "this daemon cannot be drained"}});
+    return;
+  }
+  replyJson(Received, 200, {{"draining", true}, {"already", Draining}});
+  if (!Draining)
+    Drain();
+}
+
 void OperatorApi::status(const ExchangePtr &Received) {
   json Roster = json::array();
   for (const auto &[Id, Record] : Members->roster().members())
@@ -172,6 +156,7 @@
   json Body = {
       {"member", TheSettings.Member.Id},
       {"failure_domain", TheSettings.Member.FailureDomain},
+      {"draining", Draining},
       {"config_version", Config->version()},
       {"config_digest", Config->current() ? Config->current()->digest() : 0},
       {"members", Roster}};
@@ -180,45 +165,11 @@
   replyJson(Received, 200, Body);
 }
 
-void OperatorApi::acceptDocument(const ExchangePtr &Received) {
-  if (!authorised(Received))
-    return;
-  const HttpRequest &Request = Received->request();
-  Result<Document, DocumentErrors> Parsed = parseDocument(Request.Body);
-  if (!Parsed) {
-    replyJson(Received, 400, {{"errors", jsonOf(Parsed.error())}});
-    return;
-  }
-  AcceptanceRequest Wanted;
-  Wanted.Body = std::move(Parsed.value());
-  Wanted.Author = Request.queryValue("author");
-  Wanted.OperationId = Request.queryValue("operation");
-  if (Wanted.OperationId.empty())
-    Wanted.OperationId = std::to_string(Dice->next());
-  Wanted.Now = Time->wallNow();
-  std::string Base = Request.queryValue("base");
-  if (!Base.empty())
-    Wanted.Base = numberIn(Base);
-  if (!isName(Wanted.OperationId) || (!Base.empty() && !Wanted.Base)) {
-    replyJson(Received, 400, {{"error", "bad operation or base"}});
+void OperatorApi::announce(const ExchangePtr &Received, bool Withdraw) {
+  if (crossSite(Received->request())) {
+    replyJson(Received, 403, {{"error", "cross_site"}});
     return;
   }
-  Accepting->accept(
-      Wanted, [Received](Result<uint64_t, AcceptanceError> Outcome) {
-        if (Outcome) {
-          replyJson(Received, 200, {{"version", Outcome.value()}});
-          return;
-        }
-        const AcceptanceError &Error = Outcome.error();
-        json Body = {{"error", nameOf(Error.Code)}};
-        if (Error.Present)
-          Body["present"] = json::parse(formatEnvelope(*Error.Present));
-        bool Conflict = Error.Code == AcceptanceErrorCode::Conflict;
-        replyJson(Received, Conflict ? 409 : 503, Body);
-      });
-}
-
-void OperatorApi::announce(const ExchangePtr &Received, bool Withdraw) {
   Announcement Parsed = parseAnnouncement(Received->request().Body);
   if (!Parsed.Errors.empty()) {
     replyJson(Received, 400, {{"errors", jsonOf(Parsed.Errors)}});
--- a/cyclamenwind/operators/api.h
+++ b/cyclamenwind/operators/api.h
@@ -4,19 +4,18 @@
 //   GET    /healthz           200 while the process runs
 //   GET    /readyz            200 when calls are accepted, else 503
 //   GET    /status            what this daemon knows, JSON
-//   GET    /api/document      the envelope in force
-//   POST   /api/document      accepts a document; needs the token
+//   POST   /api/drain         drains this daemon; needs the token
 //   PUT    /announcements     a backend server announces itself (JSON)
 //   DELETE /announcements     a backend server withdraws (JSON)
 //
-// Other services add paths of their own with route().
+// Other services add paths of their own with route(); document_api.h and
+// audit_api.h list theirs.
 
 #ifndef CYCLAMENWIND_OPERATORS_API_H
 #define CYCLAMENWIND_OPERATORS_API_H
 
 #include "cyclamenwind/base/kernel.h"
 #include "cyclamenwind/base/settings.h"
-#include "cyclamenwind/config/acceptance.h"
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/http/exchange.h"
 #include "cyclamenwind/membership/announcements.h"
@@ -46,7 +45,7 @@
   void route(const std::string &Method, const std::string &Path,
              ExchangeHandler Handler);
 
-  // Whether the request carries the operators' token; replies 403 if not.
+  // Whether the request may write (access.h); replies 403 if not.
   bool authorised(const ExchangePtr &Received) const;
 
   // Adds a member to the JSON of /status.
@@ -58,9 +57,12 @@
 
   void setDraining() { Draining = true; }
 
+  // Calls Handler when an operator asks this daemon to drain.
+  void onDrain(std::function<void()> Handler) { Drain = std::move(Handler); }
+
 private:
   void status(const ExchangePtr &Received);
-  void acceptDocument(const ExchangePtr &Received);
+  void drain(const ExchangePtr &Received);
   void announce(const ExchangePtr &Received, bool Withdraw);
 
   Settings TheSettings;
@@ -68,11 +70,10 @@
   std::map<std::string, std::function<nlohmann::json()>> StatusParts;
   Clock *Time = nullptr;
   ConfigStore *Config = nullptr;
-  Acceptance *Accepting = nullptr;
   MembershipView *Members = nullptr;
   Announcements *Local = nullptr;
   Metrics *Counters = nullptr;
-  Random *Dice = nullptr;
+  std::function<void()> Drain;
   bool Draining = false;
 };
 
--- a/cyclamenwind/operators/audit_objects.cpp
+++ b/cyclamenwind/operators/audit_objects.cpp
@@ -69,6 +69,12 @@
   return "audit/hour/" + formatWallTime(Time).substr(0, HourTextLength);
 }
 
+std::string auditTenHoursPrefix(WallTime Time) {
+  std::string Key = auditHourKey(Time);
+  Key.pop_back();
+  return Key;
+}
+
 std::string auditDayKey(WallTime Time) {
   return "audit/day/" + formatWallTime(Time).substr(0, DayTextLength);
 }
--- a/cyclamenwind/operators/audit_objects.h
+++ b/cyclamenwind/operators/audit_objects.h
@@ -22,8 +22,9 @@
 
 namespace cyclamenwind {
 
-// Size of an hour's text from which it keeps no further entries, bytes.
-constexpr size_t MaxAuditHourBytes = 400 * 1000;
+// Size of an hour's text from which it keeps no further entries, bytes. Ten
+// hours are listed at once and must fit into one answer of 2 MB.
+constexpr size_t MaxAuditHourBytes = 180 * 1000;
 // Limit of each text of an entry, bytes; longer ones are cut.
 constexpr size_t MaxAuditTextBytes = 200;
 // Lines of a day's summary; entries beyond are counted in one "other" line.
@@ -35,6 +36,8 @@
 WallTime auditHourOf(WallTime Time);
 
 std::string auditHourKey(WallTime Time);
+// Prefix of the keys of the up to ten hours around Time that share it.
+std::string auditTenHoursPrefix(WallTime Time);
 std::string auditDayKey(WallTime Time);
 
 enum class AuditObjectError { Malformed };
--- /dev/null
+++ b/tests/operators_diff_test.cpp
@@ -0,0 +1,65 @@
+#include "cyclamenwind/document/diff.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace cyclamenwind;
+
+namespace {
+
+Document example() {
+  Document Value;
+  Value.Services = {{"basket", "v1"}, {"quote", "v1"}};
+  Value.Routes = {{"submit", "quote", "POST", "/quotes"},
+                  {"lookup", "basket", "GET", "/baskets"}};
+  return Value;
+}
+
+} // namespace
+
+TEST_CASE("equal documents do not differ, whatever their order") {
+  Document A = example();
+  Document B = example();
+  std::reverse(B.Services.begin(), B.Services.end());
+  std::reverse(B.Routes.begin(), B.Routes.end());
+  CHECK(diffDocuments(A, B).empty());
+  CHECK(diffDocuments({}, {}).empty());
+}
+
+TEST_CASE("a difference names resource, change and members") {
+  Document A = example();
+  Document B = example();
+  B.Services[0].Name = "index";
+  B.Routes[0].Method = "";
+  B.Routes[0].Deadline = 2s;
+  B.Moves.push_back({"m", "quote", "v2", {}, SetTimeRule::TakeBack});
+  std::vector<ResourceChange> Changes = diffDocuments(A, B);
+  REQUIRE(Changes.size() == 4);
+  CHECK(Changes[0].text() == "removed service basket");
+  CHECK(Changes[1].text() == "added service index");
+  CHECK(Changes[2].Change == ChangeKind::Changed);
+  CHECK(Changes[2].Fields ==
+        std::vector<FieldChange>{
+            {"/deadline_ms", "1000", "2000"},
+            {"/match", R"({"method":"POST","path_prefix":"/quotes"})",
+             R"({"path_prefix":"/quotes"})"}});
+  CHECK(Changes[3].text() == "added move m");
+  CHECK(diffDocuments({}, A).size() == 4);
+}
+
+TEST_CASE("each single change of a document is one difference") {
+  for (size_t I = 0; I < 4; ++I) {
+    Document B = example();
+    if (I == 0)
+      B.Services[1].Version = "v2";
+    if (I == 1)
+      B.Routes[1].Repeatable = true;
+    if (I == 2)
+      B.Routes[1].Urgency = Priority::Urgent;
+    if (I == 3)
+      B.Routes.pop_back();
+    CHECK(diffDocuments(example(), B).size() == 1);
+    CHECK(diffDocuments(B, example()).size() == 1);
+  }
+}
