--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -2,6 +2,9 @@
 
 #include "cyclamenwind/ctl/commands.h"
 
+#include <iostream>
+
 int main(int Count, char **Arguments) {
-  return cyclamenwind::ctl::run(Count, Arguments);
+  cyclamenwind::ctl::HttpConnection Link;
+  return cyclamenwind::ctl::run(Count, Arguments, Link, std::cout, std::cerr);
 }
