Version moves: pure state machine, planner, evidence and sequential test

Cause: calls always went to the service's accepted version. Change: a move is a typed record advanced by a pure machine; steps and hold times are planned from the set time; evidence is judged per route by e-variables summed over beginnings; the keeper writes records conditionally with its lease epoch and reads lost answers back.

--- a/cyclamenwind/document/document.cpp
+++ b/cyclamenwind/document/document.cpp
@@ -30,6 +30,13 @@
     {SetTimeRule::StayUndecided, "stay-undecided"},
 }};
 
+constexpr std::array<EnumName<ShortEvidenceRule>, 2> ShortEvidenceNames = {{
+    {ShortEvidenceRule::Hold, "hold"},
+    {ShortEvidenceRule::Advance, "advance"},
+}};
+
+constexpr int64_t MaxSlowStartMs = 3600000;
+
 constexpr std::array<std::string_view, 7> Methods = {
     "", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
 
@@ -95,6 +102,18 @@
   Spec.To = Reader.name("to");
   Spec.DoneBy = Reader.time("done_by");
   Spec.AtSetTime = readEnum(Reader, "at_set_time", RuleNames, Spec.AtSetTime);
+  Spec.WhenEvidenceIsShort =
+      readEnum(Reader, "when_evidence_is_short", ShortEvidenceNames,
+               Spec.WhenEvidenceIsShort);
+  Spec.MaxErrorIncrease =
+      Reader.numberOr("max_error_increase", 0.005, 0.5, Spec.MaxErrorIncrease);
+  Spec.MaxLatencyFactor =
+      Reader.numberOr("max_latency_factor", 1.2, 10, Spec.MaxLatencyFactor);
+  Spec.FalseAlarmRate =
+      Reader.numberOr("false_alarm_rate", 0.0001, 0.1, Spec.FalseAlarmRate);
+  Spec.MissRate = Reader.numberOr("miss_rate", 0.0001, 0.2, Spec.MissRate);
+  Spec.SlowStart = std::chrono::milliseconds(Reader.integerOr(
+      "slow_start_ms", 0, MaxSlowStartMs, milliseconds(Spec.SlowStart)));
   Reader.finish();
   return Spec;
 }
@@ -205,11 +224,18 @@
   }
   json Moves = json::array();
   for (const MoveSpec &Each : Value.Moves)
-    Moves.push_back({{"name", Each.Name},
-                     {"service", Each.Service},
-                     {"to", Each.To},
-                     {"done_by", formatWallTime(Each.DoneBy)},
-                     {"at_set_time", nameOf(Each.AtSetTime)}});
+    Moves.push_back(
+        {{"name", Each.Name},
+         {"service", Each.Service},
+         {"to", Each.To},
+         {"done_by", formatWallTime(Each.DoneBy)},
+         {"at_set_time", nameOf(Each.AtSetTime)},
+         {"when_evidence_is_short", nameOf(Each.WhenEvidenceIsShort)},
+         {"max_error_increase", Each.MaxErrorIncrease},
+         {"max_latency_factor", Each.MaxLatencyFactor},
+         {"false_alarm_rate", Each.FalseAlarmRate},
+         {"miss_rate", Each.MissRate},
+         {"slow_start_ms", milliseconds(Each.SlowStart)}});
   return {{"services", Services}, {"routes", Routes}, {"moves", Moves}};
 }
 
@@ -222,6 +248,10 @@
 
 std::string_view nameOf(SetTimeRule Value) { return nameIn(RuleNames, Value); }
 
+std::string_view nameOf(ShortEvidenceRule Value) {
+  return nameIn(ShortEvidenceNames, Value);
+}
+
 const ServiceSpec *Document::service(std::string_view Name) const {
   for (const ServiceSpec &Each : Services)
     if (Each.Name == Name)
--- a/cyclamenwind/document/document.h
+++ b/cyclamenwind/document/document.h
@@ -69,12 +69,30 @@
 
 std::string_view nameOf(SetTimeRule Value);
 
+// What a step does when its time is over and its calls were too few for the
+// stated miss rate.
+enum class ShortEvidenceRule { Hold, Advance };
+
+std::string_view nameOf(ShortEvidenceRule Value);
+
 struct MoveSpec {
   std::string Name;
   std::string Service;
   std::string To; // Version that traffic moves to.
   WallTime DoneBy;
   SetTimeRule AtSetTime = SetTimeRule::TakeBack;
+  ShortEvidenceRule WhenEvidenceIsShort = ShortEvidenceRule::Hold;
+  // The least fault that is looked for: errors above the old version's, as a
+  // share of calls, and latency as a multiple of the old version's.
+  double MaxErrorIncrease = 0.05;
+  double MaxLatencyFactor = 2;
+  // Probability that a good version is taken back, and that a fault of the
+  // above size is not seen within the calls that a step waits for.
+  double FalseAlarmRate = 0.005;
+  double MissRate = 0.005;
+  // Latency of a backend server is not judged for this long after it is first
+  // seen.
+  Duration SlowStart = 30s;
 
   bool operator==(const MoveSpec &) const = default;
 };
--- /dev/null
+++ b/cyclamenwind/moves/book.h
@@ -0,0 +1,51 @@
+// MoveBook: what this daemon knows of the moves.
+//
+// Of two records of a move the one with the higher revision counts. A stop is
+// kept until the move is recorded as done or taken back, and no record in
+// between lifts it.
+
+#ifndef CYCLAMENWIND_MOVES_BOOK_H
+#define CYCLAMENWIND_MOVES_BOOK_H
+
+#include "cyclamenwind/moves/machine.h"
+
+#include <map>
+
+namespace cyclamenwind {
+
+class MoveBook {
+public:
+  struct Entry {
+    std::optional<MoveRecord> Record;
+    std::optional<MoveFault> Stop;
+
+    uint64_t revision() const { return Record ? Record->Revision : 0; }
+
+    // Whether calls may go to the new version at all.
+    bool stopped() const;
+  };
+
+  // Each says whether it was new.
+  bool learn(const MoveRecord &Record);
+  bool stop(const std::string &Name, const MoveFault &Why);
+
+  const std::map<std::string, Entry> &entries() const { return Entries; }
+
+  // The entry of a move; null if nothing is known of it.
+  const Entry *find(const std::string &Name) const;
+
+private:
+  // Bound against a flood of names.
+  static constexpr size_t MaxEntries = 2000;
+
+  Entry *entryFor(const std::string &Name);
+
+  std::map<std::string, Entry> Entries;
+};
+
+// The share of calls on a route that go to the new version by Entry.
+double shareBy(const MoveBook::Entry &Entry, bool Repeatable);
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/moves/evidence.cpp
@@ -0,0 +1,43 @@
+#include "cyclamenwind/moves/evidence.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr int FirstErrorStatus = 500;
+
+bool isError(const AttemptOutcome &Outcome) {
+  return Outcome.End == CallEnd::Unknown || Outcome.Status >= FirstErrorStatus;
+}
+
+} // namespace
+
+void SideCounts::add(const SideCounts &Other) {
+  Calls += Other.Calls;
+  Errors += Other.Errors;
+  Latencies.add(Other.Latencies);
+}
+
+void addEvidence(Evidence &Sum, const Evidence &Added) {
+  for (const auto &[Key, Counts] : Added)
+    Sum[Key].add(Counts);
+}
+
+bool isEvidence(const AttemptOutcome &Outcome) {
+  return Outcome.End != CallEnd::Refused &&
+         Outcome.Reason != CallReason::Cancelled;
+}
+
+void addOutcome(Evidence &Sum, const AttemptOutcome &Outcome, bool OnNew,
+                bool InSlowStart) {
+  if (!isEvidence(Outcome))
+    return;
+  EvidenceKey Key = {Outcome.Route, OnNew, OnNew ? Outcome.MemberId : ""};
+  SideCounts &Counts = Sum[Key];
+  ++Counts.Calls;
+  if (isError(Outcome))
+    ++Counts.Errors;
+  if (!InSlowStart)
+    Counts.Latencies.add(Outcome.Latency);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/moves/keeper.cpp
@@ -0,0 +1,172 @@
+#include "cyclamenwind/moves/keeper.h"
+
+#include "cyclamenwind/base/log.h"
+
+#include <set>
+
+namespace cyclamenwind {
+namespace {
+
+const MoveSpec *moveIn(const SnapshotPtr &Current, const std::string &Name) {
+  if (Current)
+    for (const MoveSpec &Each : Current->document().Moves)
+      if (Each.Name == Name)
+        return &Each;
+  return nullptr;
+}
+
+std::string keyOf(const std::string &Name) { return MovesPrefix + Name; }
+
+} // namespace
+
+void MoveKeeper::turn(LeaseEpoch Lease, WallTime Now) {
+  if (Lease.Epoch != Present.Epoch) {
+    // What another holder did since is not known.
+    Present = Lease;
+    Loaded = false;
+  }
+  SnapshotPtr Current = Inputs.snapshot();
+  if (Present.Epoch == 0 || !Current)
+    return;
+  if (!Loaded) {
+    load();
+    return;
+  }
+  std::set<std::string> Names;
+  for (const MoveSpec &Each : Current->document().Moves)
+    Names.insert(Each.Name);
+  for (const auto &[Name, Place] : Slots)
+    Names.insert(Name);
+  for (const std::string &Name : Names)
+    turnOf(Name, Now);
+}
+
+void MoveKeeper::load() {
+  if (Loading)
+    return;
+  Loading = true;
+  Platform.list(MovesPrefix, [this, Alive = Alive, Epoch = Present.Epoch](
+                                 Result<PlatformListing, PlatformError> Found) {
+    if (!*Alive)
+      return;
+    Loading = false;
+    if (!Found || Epoch != Present.Epoch)
+      return;
+    Loaded = true;
+    for (const PlatformObject &Each : Found.value().Objects)
+      hold(Slots[Each.Key.substr(sizeof(MovesPrefix) - 1)], Each);
+  });
+}
+
+void MoveKeeper::turnOf(const std::string &Name, WallTime Now) {
+  Slot &Place = Slots[Name];
+  if (Place.Busy)
+    return;
+  if (Place.NeedsReading) {
+    read(Name);
+    return;
+  }
+  MoveContext Context = contextFor(Name);
+  if (Place.Record) {
+    if (std::optional<MoveRecord> Next =
+            nextRecord(*Place.Record, Context, Now))
+      write(Name, *Next);
+    return;
+  }
+  // An object that does not parse is left alone.
+  if (Place.ObjectVersion != 0 || Context.Spec == nullptr ||
+      Context.Target == nullptr)
+    return;
+  write(Name, firstRecord(*Context.Spec, *Context.Target,
+                          planSteps(Inputs.snapshot()->document(),
+                                    Context.Spec->Service),
+                          Context, Now));
+}
+
+MoveContext MoveKeeper::contextFor(const std::string &Name) {
+  SnapshotPtr Current = Inputs.snapshot();
+  MoveContext Context;
+  Context.Spec = moveIn(Current, Name);
+  if (Context.Spec != nullptr) {
+    Context.Target = Current->service(Context.Spec->Service);
+    Context.ServersReady = Inputs.serversReady(*Context.Spec);
+  }
+  Context.Standing = Inputs.standing(Name);
+  Context.Fault = Inputs.fault(Name);
+  Context.DocumentVersion = Current->version();
+  Context.Epoch = Present.Epoch;
+  Context.Holder = Holder;
+  Context.OperationId = Holder + "-" + std::to_string(Dice.next());
+  return Context;
+}
+
+void MoveKeeper::write(const std::string &Name, const MoveRecord &Next) {
+  Slot &Place = Slots[Name];
+  Place.Busy = true;
+  Platform.write(keyOf(Name), formatMoveRecord(Next), Place.ObjectVersion,
+                 [this, Alive = Alive, Name,
+                  Next](Result<uint64_t, PlatformError> Outcome) {
+                   if (*Alive)
+                     writeEnded(Name, Next, Outcome);
+                 });
+}
+
+void MoveKeeper::writeEnded(const std::string &Name, const MoveRecord &Next,
+                            Result<uint64_t, PlatformError> Outcome) {
+  Slot &Place = Slots[Name];
+  Place.Busy = false;
+  if (Outcome) {
+    Place.Record = Next;
+    Place.ObjectVersion = Outcome.value();
+    Inputs.recorded(Next, /*Written=*/true);
+    return;
+  }
+  switch (Outcome.error()) {
+  case PlatformError::Conflict:
+  case PlatformError::NotFound:
+  case PlatformError::NoAnswer:
+  case PlatformError::Malformed:
+    Place.LostOperation = Next.OperationId;
+    Place.NeedsReading = true;
+    return;
+  default:
+    return; // Not written; the next turn tries again.
+  }
+}
+
+void MoveKeeper::read(const std::string &Name) {
+  Slots[Name].Busy = true;
+  Platform.read(keyOf(Name), [this, Alive = Alive, Name](
+                                 Result<PlatformObject, PlatformError> Read) {
+    if (*Alive)
+      readEnded(Name, std::move(Read));
+  });
+}
+
+void MoveKeeper::readEnded(const std::string &Name,
+                           Result<PlatformObject, PlatformError> Outcome) {
+  Slot &Place = Slots[Name];
+  Place.Busy = false;
+  if (Outcome) {
+    Place.NeedsReading = false;
+    hold(Place, Outcome.value());
+    return;
+  }
+  if (Outcome.error() == PlatformError::NotFound)
+    Place = {};
+}
+
+void MoveKeeper::hold(Slot &Place, const PlatformObject &Object) {
+  Place.ObjectVersion = Object.Version;
+  Place.Record = parseMoveRecord(Object.Value);
+  if (!Place.Record) {
+    logWarning("move_record_unreadable", {{"key", Object.Key}});
+    return;
+  }
+  bool Own = !Place.LostOperation.empty() &&
+             Place.Record->OperationId == Place.LostOperation;
+  Place.LostOperation.clear();
+  Inputs.recorded(*Place.Record, Own);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/moves/plan.cpp
@@ -0,0 +1,87 @@
+#include "cyclamenwind/moves/plan.h"
+
+#include <algorithm>
+
+namespace cyclamenwind {
+namespace {
+
+struct Level {
+  double Share;
+  double Weight;
+};
+
+// The first level meets versions that fail at once; the second is held longest,
+// because it must see enough calls on each route; above one half the old
+// version's calls become too few to compare with.
+constexpr Level Levels[] = {
+    {0.01, 0.05}, {SmallShare, 0.5}, {0.2, 0.15}, {0.5, 0.15}, {0.75, 0.15}};
+
+} // namespace
+
+MoveSteps planSteps(bool HasRepeatable, bool HasNonRepeatable) {
+  MoveSteps Steps;
+  double Reached = 0;
+  for (const Level &Each : Levels) {
+    if (!HasRepeatable || !HasNonRepeatable) {
+      Steps.push_back({Each.Share, Each.Share, Each.Weight});
+      continue;
+    }
+    Steps.push_back({Each.Share, Reached, Each.Weight / 2});
+    Reached = Each.Share;
+    Steps.push_back({Each.Share, Each.Share, Each.Weight / 2});
+  }
+  return Steps;
+}
+
+MoveSteps planSteps(const Document &Value, const std::string &Service) {
+  bool HasRepeatable = false;
+  bool HasNonRepeatable = false;
+  for (const RouteSpec &Each : Value.Routes)
+    if (Each.Service == Service)
+      (Each.Repeatable ? HasRepeatable : HasNonRepeatable) = true;
+  return planSteps(HasRepeatable, HasNonRepeatable);
+}
+
+Duration leastMoveTime(const MoveSpec &Move, const MoveSteps &Steps) {
+  // One more hold for the last state, in which all calls go to the new version.
+  return Move.SlowStart + MinStepHold * static_cast<int>(Steps.size() + 1) +
+         SetTimeMargin;
+}
+
+Duration plannedHold(const MoveSteps &Steps, size_t Index, WallTime Entered,
+                     WallTime DoneBy) {
+  double Later = 0;
+  for (size_t I = Index; I < Steps.size(); ++I)
+    Later += Steps[I].Weight;
+  if (Later <= 0)
+    return MinStepHold;
+  Duration Left = std::chrono::duration_cast<Duration>(DoneBy - Entered) -
+                  SetTimeMargin - MinStepHold;
+  double Part = Steps[Index].Weight / Later;
+  Duration Hold(static_cast<int64_t>(static_cast<double>(Left.count()) * Part));
+  return std::max(Hold, MinStepHold);
+}
+
+DocumentErrors checkMoveTimes(const Document &Value, const Document *Present,
+                              WallTime Now) {
+  DocumentErrors Errors;
+  for (size_t I = 0; I < Value.Moves.size(); ++I) {
+    const MoveSpec &Move = Value.Moves[I];
+    if (Present != nullptr &&
+        std::find(Present->Moves.begin(), Present->Moves.end(), Move) !=
+            Present->Moves.end())
+      continue;
+    Duration Least = leastMoveTime(Move, planSteps(Value, Move.Service));
+    if (Move.DoneBy - Now >= Least)
+      continue;
+    WallTime Earliest = Now + Least;
+    Errors.push_back({"/moves/" + std::to_string(I) + "/done_by",
+                      "is too soon: the steps need " +
+                          std::to_string(milliseconds(Least) / 1000) +
+                          " s, so " + formatWallTime(Earliest) +
+                          " is the earliest"});
+  }
+  return Errors;
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/moves/ranking.cpp
@@ -0,0 +1,31 @@
+#include "cyclamenwind/moves/ranking.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace cyclamenwind {
+
+std::vector<const Member *> rankedFor(std::string_view Task, size_t Count,
+                                      const Roster &Members,
+                                      const Member &Self) {
+  uint64_t Seed = XXH3_64bits(Task.data(), Task.size());
+  std::vector<std::pair<uint64_t, const Member *>> Ranked;
+  auto Add = [&](const Member &Each) {
+    Ranked.push_back({XXH64(Each.Id.data(), Each.Id.size(), Seed), &Each});
+  };
+  Add(Self);
+  for (const auto &[Id, Each] : Members.members())
+    if (Id != Self.Id && Each.reachable())
+      Add(Each);
+  size_t Kept = std::min(Count, Ranked.size());
+  std::partial_sort(
+      Ranked.begin(), Ranked.begin() + static_cast<long>(Kept), Ranked.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  std::vector<const Member *> Result;
+  for (size_t I = 0; I < Kept; ++I)
+    Result.push_back(Ranked[I].second);
+  return Result;
+}
+
+} // namespace cyclamenwind
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -35,6 +35,11 @@
   ConfigState = 30,
   ConfigPull = 31,
   ConfigSnapshot = 32,
+  // Version moves.
+  MoveDigest = 40,
+  MoveEntries = 41,
+  MoveEvidence = 42,
+  MoveStanding = 43,
 };
 
 // A body of the largest size with its headers.
