Version moves: local stop, spread between daemons, collector, lease holder

Cause: the state machine had no daemons to run on. Change: MoveService replaces AcceptedVersions: split by hash, news and digests between daemons, evidence to the member that ranks first for the move, records written under the lease; too tight set times are refused with their path.

--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -5,13 +5,13 @@
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/config/watcher.h"
 #include "cyclamenwind/membership/membership.h"
+#include "cyclamenwind/moves/service.h"
 #include "cyclamenwind/operators/api.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/tcp_transport.h"
 #include "cyclamenwind/platform/service.h"
 #include "cyclamenwind/traffic/caller_side.h"
 #include "cyclamenwind/traffic/server_side.h"
-#include "cyclamenwind/traffic/versions.h"
 
 #include <random>
 
@@ -63,7 +63,7 @@
   Services.add(std::make_unique<Announcements>(
       TheSettings.Membership.AnnouncementLifetime));
   Services.add(std::make_unique<Membership>(TheSettings, Incarnation));
-  Services.add(std::make_unique<AcceptedVersions>());
+  Services.add(std::make_unique<MoveService>());
   Services.add(std::make_unique<ServerSide>(
       std::make_unique<HttpClient>(
           TheLoop,
@@ -107,6 +107,9 @@
 
 void Daemon::start() {
   Services.start();
+  Services.find<OperatorApi>("operators").addStatus("moves", [this] {
+    return Services.find<MoveService>("versions").status();
+  });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
            {"peers", TheSettings.Addresses.Peers.text()},
--- a/cyclamenwind/moves/feed.cpp
+++ b/cyclamenwind/moves/feed.cpp
@@ -5,7 +5,8 @@
 namespace cyclamenwind {
 namespace {
 
-constexpr Duration WatchTime = 30s;
+// Short enough that each answer shows that the platform is there.
+constexpr Duration WatchTime = 5s;
 constexpr Duration RetryBase = 200ms;
 constexpr Duration RetryLimit = 5s;
 
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenwind/operators/api.h"
 
+#include "cyclamenwind/moves/plan.h"
+
 #include "cyclamenwind/document/reader.h"
 
 #include <charconv>
@@ -189,6 +191,14 @@
     replyJson(Received, 400, {{"errors", jsonOf(Parsed.error())}});
     return;
   }
+  SnapshotPtr Present = Config->current();
+  DocumentErrors TooTight =
+      checkMoveTimes(Parsed.value(), Present ? &Present->document() : nullptr,
+                     Time->wallNow());
+  if (!TooTight.empty()) {
+    replyJson(Received, 400, {{"errors", jsonOf(TooTight)}});
+    return;
+  }
   AcceptanceRequest Wanted;
   Wanted.Body = std::move(Parsed.value());
   Wanted.Author = Request.queryValue("author");
--- a/cyclamenwind/wire/gen-cpp/moves_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/moves_types.cpp
@@ -860,6 +860,10 @@
 void MoveEvidence::__set_items(const std::vector<EvidenceItem> & val) {
   this->items = val;
 }
+
+void MoveEvidence::__set_member(const std::string& val) {
+  this->member = val;
+}
 std::ostream& operator<<(std::ostream& out, const MoveEvidence& obj)
 {
   obj.printTo(out);
@@ -932,6 +936,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -973,6 +985,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -984,6 +1000,7 @@
   swap(a.revision, b.revision);
   swap(a.stopped, b.stopped);
   swap(a.items, b.items);
+  swap(a.member, b.member);
   swap(a.__isset, b.__isset);
 }
 
@@ -992,6 +1009,7 @@
   revision = other50.revision;
   stopped = other50.stopped;
   items = other50.items;
+  member = other50.member;
   __isset = other50.__isset;
 }
 MoveEvidence::MoveEvidence(MoveEvidence&& other51) noexcept {
@@ -999,6 +1017,7 @@
   revision = other51.revision;
   stopped = other51.stopped;
   items = std::move(other51.items);
+  member = std::move(other51.member);
   __isset = other51.__isset;
 }
 MoveEvidence& MoveEvidence::operator=(const MoveEvidence& other52) {
@@ -1006,6 +1025,7 @@
   revision = other52.revision;
   stopped = other52.stopped;
   items = other52.items;
+  member = other52.member;
   __isset = other52.__isset;
   return *this;
 }
@@ -1014,6 +1034,7 @@
   revision = other53.revision;
   stopped = other53.stopped;
   items = std::move(other53.items);
+  member = std::move(other53.member);
   __isset = other53.__isset;
   return *this;
 }
@@ -1024,6 +1045,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "stopped=" << to_string(stopped);
   out << ", " << "items=" << to_string(items);
+  out << ", " << "member=" << to_string(member);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/moves_types.h
+++ b/cyclamenwind/wire/gen-cpp/moves_types.h
@@ -334,11 +334,12 @@
 std::ostream& operator<<(std::ostream& out, const EvidenceItem& obj);
 
 typedef struct _MoveEvidence__isset {
-  _MoveEvidence__isset() : move(false), revision(false), stopped(false), items(false) {}
+  _MoveEvidence__isset() : move(false), revision(false), stopped(false), items(false), member(false) {}
   bool move :1;
   bool revision :1;
   bool stopped :1;
   bool items :1;
+  bool member :1;
 } _MoveEvidence__isset;
 
 class MoveEvidence : public virtual ::apache::thrift::TBase {
@@ -351,7 +352,8 @@
   MoveEvidence() noexcept
                : move(),
                  revision(0),
-                 stopped(0) {
+                 stopped(0),
+                 member() {
   }
 
   virtual ~MoveEvidence() noexcept;
@@ -359,6 +361,7 @@
   int64_t revision;
   bool stopped;
   std::vector<EvidenceItem>  items;
+  std::string member;
 
   _MoveEvidence__isset __isset;
 
@@ -370,6 +373,8 @@
 
   void __set_items(const std::vector<EvidenceItem> & val);
 
+  void __set_member(const std::string& val);
+
   bool operator == (const MoveEvidence & rhs) const
   {
     if (!(move == rhs.move))
@@ -380,6 +385,8 @@
       return false;
     if (!(items == rhs.items))
       return false;
+    if (!(member == rhs.member))
+      return false;
     return true;
   }
   bool operator != (const MoveEvidence &rhs) const {
--- a/cyclamenwind/wire/moves.thrift
+++ b/cyclamenwind/wire/moves.thrift
@@ -47,6 +47,7 @@
   2: i64 revision
   3: bool stopped
   4: list<EvidenceItem> items
+  5: string member
 }
 
 // The collector's judgement, for the holder of the lease.
