--- a/cyclamenwind/operators/document_api.cpp
+++ b/cyclamenwind/operators/document_api.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamenwind/document/diff.h"
 #include "cyclamenwind/document/reader.h"
+#include "cyclamenwind/moves/plan.h"
 #include "cyclamenwind/operators/explain.h"
 
 #include <charconv>
@@ -84,6 +85,14 @@
     replyJson(Received, 400, {{"errors", jsonOf(Parsed.error())}});
     return;
   }
+  const SnapshotPtr &Present = Config->current();
+  DocumentErrors TooTight =
+      checkMoveTimes(Parsed.value(), Present ? &Present->document() : nullptr,
+                     Time->wallNow());
+  if (!TooTight.empty()) {
+    replyJson(Received, 400, {{"errors", jsonOf(TooTight)}});
+    return;
+  }
   AcceptanceRequest Wanted;
   Wanted.Body = std::move(Parsed.value());
   Wanted.Author = Request.queryValue("author").substr(0, MaxAuthorBytes);
