Membership: SWIM probes with local health, bucket repair, bounded bytes

Cause: the thin gossip exchanged whole rosters when digests differed, never accused anybody, and rebuilt the endpoint index for each merged record.

Change: a pure member state machine (MemberProtocol) with a ring of monitors across failure domains, indirect probes with nacks, suspicion, refutation, local health, rumours counted by log N, pulls by bucket within a few datagrams, forgetting and reconnecting. Meeting points replace stale addresses; membership.seeds joins with the platform down.

--- a/cyclamenwind/base/settings.cpp
+++ b/cyclamenwind/base/settings.cpp
@@ -29,6 +29,7 @@
 }};
 
 constexpr size_t MaxNameBytes = 100;
+constexpr size_t MaxListedAddresses = 32;
 
 // What is wrong with one value; the reader adds file, line and key.
 struct ValueError {
@@ -86,6 +87,27 @@
           /*Required=*/true};
 }
 
+KeyReader addressListKey(std::vector<Address> &Field) {
+  return {[&Field](const toml::node &Node) -> ValueResult {
+    const toml::array *List = Node.as_array();
+    if (List == nullptr)
+      return wrongType("a list of strings");
+    if (List->size() > MaxListedAddresses)
+      return outOfRange("must have at most 32 addresses");
+    for (const toml::node &Each : *List) {
+      auto Value = Each.value_exact<std::string>();
+      std::optional<Address> Parsed;
+      if (Value)
+        Parsed = parseAddress(*Value);
+      if (!Parsed)
+        return outOfRange("must list IP numbers and ports such as "
+                          "\"127.0.0.1:7100\"");
+      Field.push_back(*Parsed);
+    }
+    return success();
+  }};
+}
+
 KeyReader levelKey(LogLevel &Field) {
   return {[&Field](const toml::node &Node) -> ValueResult {
     auto Value = Node.value_exact<std::string>();
@@ -171,6 +193,7 @@
        millisKey(S.Membership.ProbePeriod, 50, 10000)},
       {"membership.announcement_lifetime_ms",
        millisKey(S.Membership.AnnouncementLifetime, 500, 60000)},
+      {"membership.seeds", addressListKey(S.Membership.Seeds)},
       {"traffic.max_header_bytes",
        numberKey(S.Traffic.MaxHeaderBytes, 1024, 1 << 20)},
       {"traffic.max_body_bytes",
--- a/cyclamenwind/base/settings.h
+++ b/cyclamenwind/base/settings.h
@@ -84,6 +84,8 @@
   Duration ProbePeriod = 500ms;
   // A backend server that has not announced itself for this long is withdrawn.
   Duration AnnouncementLifetime = 3s;
+  // Peers to join through when the platform cannot be read; at most 32.
+  std::vector<Address> Seeds;
 };
 
 struct TrafficSettings {
--- a/cyclamenwind/membership/codec.cpp
+++ b/cyclamenwind/membership/codec.cpp
@@ -3,6 +3,9 @@
 namespace cyclamenwind {
 namespace {
 
+// Incarnations and revisions are below this, so that one can be added.
+constexpr int64_t MaxCounter = int64_t(1) << 62;
+
 wire::MemberState::type stateToWire(MemberState State) {
   switch (State) {
   case MemberState::Alive:
@@ -59,7 +62,9 @@
 std::optional<Member> fromWire(const wire::MemberRecord &Record) {
   std::optional<Address> Peer = parseAddress(Record.peerAddress);
   std::optional<MemberState> State = stateFromWire(Record.state);
-  if (!Peer || !State || Record.id.empty())
+  bool InRange = Record.incarnation >= 0 && Record.incarnation < MaxCounter &&
+                 Record.revision >= 0 && Record.revision < MaxCounter;
+  if (!Peer || !State || !InRange || Record.id.empty())
     return std::nullopt;
   Member Result;
   Result.Id = Record.id;
--- a/cyclamenwind/membership/membership.h
+++ b/cyclamenwind/membership/membership.h
@@ -1,10 +1,10 @@
 // Membership: the service that keeps the roster in step with other daemons.
 //
-// A daemon finds its first peers in the meeting points, one platform object a
-// failure domain that holds a bounded number of peer addresses, and adds itself
-// where there is room. From then on recent changes travel by gossip datagrams
-// to a few random members each period; a digest in each datagram reveals
-// rosters that differ, and those are exchanged whole over a stream.
+// It runs MemberProtocol (protocol.h) on the peers' transport, and finds other
+// daemons through the meeting points (meeting.h) or, while the platform cannot
+// be read, through the peers listed in the settings. The meeting points are
+// read again from time to time, so that daemons that have lost each other meet
+// anew.
 
 #ifndef CYCLAMENWIND_MEMBERSHIP_MEMBERSHIP_H
 #define CYCLAMENWIND_MEMBERSHIP_MEMBERSHIP_H
@@ -13,21 +13,12 @@
 #include "cyclamenwind/base/settings.h"
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/membership/announcements.h"
-#include "cyclamenwind/membership/roster.h"
+#include "cyclamenwind/membership/protocol.h"
 #include "cyclamenwind/peer/transport.h"
 #include "cyclamenwind/platform/client.h"
 
 namespace cyclamenwind {
 
-// One backend server as other daemons see it.
-struct Endpoint {
-  std::string MemberId;
-  Address Peer;
-  std::string FailureDomain;
-  std::string Version;
-  int Slots = 0;
-};
-
 // Read side of the membership; a service named "membership" offers it.
 class MembershipView {
 public:
@@ -50,41 +41,36 @@
 
   const std::vector<Endpoint> &
   endpoints(const std::string &Service) const override;
-  const Roster &roster() const override { return TheRoster; }
-  const Member &self() const override { return Self; }
+  const Roster &roster() const override { return Protocol->roster(); }
+  const Member &self() const override { return Protocol->self(); }
 
   // Tells all members that this one takes no more calls.
   void leave();
 
 private:
   void publishSelf();
+  void post(const Outbox &Messages);
   void readMeetingPoints();
-  void joinMeetingPoint(const PlatformListing &Listing);
-  void gossip();
-  std::vector<std::string> freshestRumours() const;
-  void sendGossip(const Address &To, const std::vector<std::string> &Ids);
-  void receiveGossip(const Address &From, std::string_view Payload);
-  void receiveSync(const Address &From, std::string_view Payload);
-  void sync(const Address &To, bool WantReply);
-  void mergeRecord(const Member &Record);
-  void rebuildEndpoints();
-  std::vector<Address> randomPeers(size_t Count);
+  void meet(const PlatformListing &Listing);
+  void write(const std::string &Key, const std::vector<Address> &Peers,
+             uint64_t IfVersion);
+  void meetAgain(Duration Delay);
+  void retryMeeting();
 
   MembershipSettings Options;
-  Member Self;
-  Roster TheRoster;
-  std::map<std::string, std::vector<Endpoint>> Endpoints;
-  // Ids of changed records with the number of times they are still to be sent.
-  std::map<std::string, int> Rumours;
+  Member Initial;
+  std::unique_ptr<MemberProtocol> Protocol;
   PlatformClient *Platform = nullptr;
   PeerTransport *Peers = nullptr;
   ConfigStore *Config = nullptr;
   Announcements *Local = nullptr;
+  Clock *Time = nullptr;
   Random *Dice = nullptr;
   Scheduler *Timers = nullptr;
-  TimerHandle GossipTimer;
-  TimerHandle JoinTimer;
-  int JoinFailures = 0;
+  TimerHandle TickTimer;
+  TimerHandle MeetingTimer;
+  int MeetingFailures = 0;
+  int MeetingsRead = 0;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/membership/roster.cpp
+++ b/cyclamenwind/membership/roster.cpp
@@ -16,11 +16,11 @@
     {MemberState::Dead, "dead"},
 }};
 
-uint64_t recordDigest(const Member &Record) {
+uint32_t recordDigest(const Member &Record) {
   std::string Text = Record.Id + "/" + std::to_string(Record.Incarnation) +
-                     "/" + std::to_string(Record.Revision) + "/" +
-                     std::to_string(static_cast<int>(Record.State));
-  return XXH3_64bits(Text.data(), Text.size());
+                     "/" + std::to_string(Record.Revision) +
+                     (Record.State == MemberState::Suspect ? "/suspect" : "");
+  return static_cast<uint32_t>(XXH3_64bits(Text.data(), Text.size()));
 }
 
 } // namespace
@@ -34,24 +34,59 @@
 
 bool Roster::merge(const Member &Record) {
   auto [Position, Inserted] = Members.try_emplace(Record.Id, Record);
-  if (Inserted)
+  Member &Held = Position->second;
+  if (Inserted) {
+    toggleDigest(Held);
+    ++StateEpoch;
     return true;
-  if (!Record.supersedes(Position->second))
+  }
+  if (!Record.supersedes(Held))
     return false;
-  Position->second = Record;
+  if (Held.State != Record.State)
+    ++StateEpoch;
+  toggleDigest(Held);
+  Held = Record;
+  toggleDigest(Held);
   return true;
 }
 
+void Roster::erase(const std::string &Id) {
+  auto Found = Members.find(Id);
+  if (Found == Members.end())
+    return;
+  toggleDigest(Found->second);
+  Members.erase(Found);
+  ++StateEpoch;
+}
+
 const Member *Roster::find(const std::string &Id) const {
   auto Found = Members.find(Id);
   return Found == Members.end() ? nullptr : &Found->second;
 }
 
-uint64_t Roster::digest() const {
-  uint64_t Sum = 0;
+const std::vector<const Member *> &Roster::reachable() const {
+  if (ReachableEpoch == StateEpoch)
+    return Reachable;
+  ReachableEpoch = StateEpoch;
+  Reachable.clear();
   for (const auto &[Id, Record] : Members)
-    Sum ^= recordDigest(Record);
-  return Sum;
+    if (Record.reachable())
+      Reachable.push_back(&Record);
+  return Reachable;
+}
+
+uint64_t Roster::digest() const {
+  return XXH3_64bits(Digests.data(), sizeof Digests);
+}
+
+size_t Roster::bucketOf(const std::string &Id) {
+  return XXH3_64bits(Id.data(), Id.size()) % BucketCount;
+}
+
+// Adds the record to its bucket's digest, or takes it out again.
+void Roster::toggleDigest(const Member &Record) {
+  if (Record.reachable())
+    Digests[bucketOf(Record.Id)] ^= recordDigest(Record);
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/membership/roster.h
+++ b/cyclamenwind/membership/roster.h
@@ -1,9 +1,11 @@
 // Roster: what this daemon knows of the members.
 //
 // Each member alone changes its own record and raises the record's revision
-// with each change, and its incarnation with each start. Records are merged by
-// taking the higher (incarnation, revision), so that all rosters converge
-// whatever the order and number of the messages.
+// with each change, and its incarnation with each start. Others may only make
+// the state worse (Suspect, Dead) at the same revision, which the member
+// refutes by a higher revision. Records are merged by taking the higher
+// (incarnation, revision, state), so that all rosters converge whatever the
+// order and number of the messages.
 
 #ifndef CYCLAMENWIND_MEMBERSHIP_ROSTER_H
 #define CYCLAMENWIND_MEMBERSHIP_ROSTER_H
@@ -11,6 +13,7 @@
 #include "cyclamenwind/base/address.h"
 #include "cyclamenwind/base/time.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,6 +21,7 @@
 
 namespace cyclamenwind {
 
+// In the order of precedence at one revision.
 enum class MemberState { Alive, Suspect, Left, Dead };
 
 std::string_view nameOf(MemberState State);
@@ -55,19 +59,39 @@
 
 class Roster {
 public:
+  static constexpr size_t BucketCount = 64;
+  using BucketDigests = std::array<uint32_t, BucketCount>;
+
   // Adds or replaces the record if it supersedes; says whether it did.
   bool merge(const Member &Record);
 
-  void erase(const std::string &Id) { Members.erase(Id); }
+  void erase(const std::string &Id);
 
   const std::map<std::string, Member> &members() const { return Members; }
   const Member *find(const std::string &Id) const;
 
-  // Hash over all records; equal rosters have equal digests.
+  // The reachable members, ordered by id; valid until the next change.
+  const std::vector<const Member *> &reachable() const;
+
+  // Grows whenever a member is added or erased or changes its state.
+  uint64_t stateEpoch() const { return StateEpoch; }
+
+  // Hash over the reachable members' incarnations, revisions and states; others
+  // are left out since each daemon forgets them at a time of its own.
   uint64_t digest() const;
 
+  // The same by bucket; a member's bucket depends on its id alone.
+  const BucketDigests &bucketDigests() const { return Digests; }
+  static size_t bucketOf(const std::string &Id);
+
 private:
+  void toggleDigest(const Member &Record);
+
   std::map<std::string, Member> Members;
+  BucketDigests Digests = {};
+  uint64_t StateEpoch = 0;
+  mutable std::vector<const Member *> Reachable;
+  mutable uint64_t ReachableEpoch = ~uint64_t(0);
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -30,7 +30,12 @@
   CallCancel = 12,
   // Membership.
   Gossip = 20,
-  RosterSync = 21,
+  RosterPull = 21,
+  RosterRecords = 22,
+  Probe = 23,
+  ProbeAck = 24,
+  ProbeRequest = 25,
+  ProbeNack = 26,
   // Configuration.
   ConfigState = 30,
   ConfigPull = 31,
--- a/cyclamenwind/wire/gen-cpp/membership_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/membership_types.cpp
@@ -498,10 +498,6 @@
 void Gossip::__set_records(const std::vector<MemberRecord> & val) {
   this->records = val;
 }
-
-void Gossip::__set_digest(const int64_t val) {
-  this->digest = val;
-}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -550,14 +546,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->digest);
-          this->__isset.digest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -587,10 +575,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->digest);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -599,29 +583,24 @@
 void swap(Gossip &a, Gossip &b) {
   using ::std::swap;
   swap(a.records, b.records);
-  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
 Gossip::Gossip(const Gossip& other21) {
   records = other21.records;
-  digest = other21.digest;
   __isset = other21.__isset;
 }
 Gossip::Gossip(Gossip&& other22) noexcept {
   records = std::move(other22.records);
-  digest = other22.digest;
   __isset = other22.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other23) {
   records = other23.records;
-  digest = other23.digest;
   __isset = other23.__isset;
   return *this;
 }
 Gossip& Gossip::operator=(Gossip&& other24) noexcept {
   records = std::move(other24.records);
-  digest = other24.digest;
   __isset = other24.__isset;
   return *this;
 }
@@ -629,30 +608,37 @@
   using ::apache::thrift::to_string;
   out << "Gossip(";
   out << "records=" << to_string(records);
-  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
 
-RosterSync::~RosterSync() noexcept {
+Probe::~Probe() noexcept {
 }
 
 
-void RosterSync::__set_records(const std::vector<MemberRecord> & val) {
-  this->records = val;
+void Probe::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Probe::__set_targetId(const std::string& val) {
+  this->targetId = val;
 }
 
-void RosterSync::__set_wantReply(const bool val) {
-  this->wantReply = val;
+void Probe::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void Probe::__set_records(const std::vector<MemberRecord> & val) {
+  this->records = val;
 }
-std::ostream& operator<<(std::ostream& out, const RosterSync& obj)
+std::ostream& operator<<(std::ostream& out, const Probe& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RosterSync::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Probe::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -674,6 +660,30 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
@@ -693,14 +703,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wantReply);
-          this->__isset.wantReply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -713,12 +715,24 @@
   return xfer;
 }
 
-uint32_t RosterSync::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Probe::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RosterSync");
+  xfer += oprot->writeStructBegin("Probe");
 
-  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
     std::vector<MemberRecord> ::const_iterator _iter30;
@@ -730,49 +744,690 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wantReply", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->wantReply);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RosterSync &a, RosterSync &b) {
+void swap(Probe &a, Probe &b) {
   using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.targetId, b.targetId);
+  swap(a.digest, b.digest);
   swap(a.records, b.records);
-  swap(a.wantReply, b.wantReply);
   swap(a.__isset, b.__isset);
 }
 
-RosterSync::RosterSync(const RosterSync& other31) {
+Probe::Probe(const Probe& other31) {
+  sequence = other31.sequence;
+  targetId = other31.targetId;
+  digest = other31.digest;
   records = other31.records;
-  wantReply = other31.wantReply;
   __isset = other31.__isset;
 }
-RosterSync::RosterSync(RosterSync&& other32) noexcept {
+Probe::Probe(Probe&& other32) noexcept {
+  sequence = other32.sequence;
+  targetId = std::move(other32.targetId);
+  digest = other32.digest;
   records = std::move(other32.records);
-  wantReply = other32.wantReply;
   __isset = other32.__isset;
 }
-RosterSync& RosterSync::operator=(const RosterSync& other33) {
+Probe& Probe::operator=(const Probe& other33) {
+  sequence = other33.sequence;
+  targetId = other33.targetId;
+  digest = other33.digest;
   records = other33.records;
-  wantReply = other33.wantReply;
   __isset = other33.__isset;
   return *this;
 }
-RosterSync& RosterSync::operator=(RosterSync&& other34) noexcept {
+Probe& Probe::operator=(Probe&& other34) noexcept {
+  sequence = other34.sequence;
+  targetId = std::move(other34.targetId);
+  digest = other34.digest;
   records = std::move(other34.records);
-  wantReply = other34.wantReply;
   __isset = other34.__isset;
   return *this;
 }
-void RosterSync::printTo(std::ostream& out) const {
+void Probe::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Probe(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "targetId=" << to_string(targetId);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
+
+ProbeAck::~ProbeAck() noexcept {
+}
+
+
+void ProbeAck::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ProbeAck::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ProbeAck::__set_records(const std::vector<MemberRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProbeAck& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProbeAck::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->records.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->records[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProbeAck::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProbeAck");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<MemberRecord> ::const_iterator _iter40;
+    for (_iter40 = this->records.begin(); _iter40 != this->records.end(); ++_iter40)
+    {
+      xfer += (*_iter40).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProbeAck &a, ProbeAck &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.digest, b.digest);
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+ProbeAck::ProbeAck(const ProbeAck& other41) {
+  sequence = other41.sequence;
+  digest = other41.digest;
+  records = other41.records;
+  __isset = other41.__isset;
+}
+ProbeAck::ProbeAck(ProbeAck&& other42) noexcept {
+  sequence = other42.sequence;
+  digest = other42.digest;
+  records = std::move(other42.records);
+  __isset = other42.__isset;
+}
+ProbeAck& ProbeAck::operator=(const ProbeAck& other43) {
+  sequence = other43.sequence;
+  digest = other43.digest;
+  records = other43.records;
+  __isset = other43.__isset;
+  return *this;
+}
+ProbeAck& ProbeAck::operator=(ProbeAck&& other44) noexcept {
+  sequence = other44.sequence;
+  digest = other44.digest;
+  records = std::move(other44.records);
+  __isset = other44.__isset;
+  return *this;
+}
+void ProbeAck::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProbeAck(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "records=" << to_string(records);
+  out << ")";
+}
+
+
+ProbeRequest::~ProbeRequest() noexcept {
+}
+
+
+void ProbeRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ProbeRequest::__set_targetId(const std::string& val) {
+  this->targetId = val;
+}
+
+void ProbeRequest::__set_targetAddress(const std::string& val) {
+  this->targetAddress = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProbeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProbeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetAddress);
+          this->__isset.targetAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProbeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProbeRequest");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetAddress", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->targetAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProbeRequest &a, ProbeRequest &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.targetId, b.targetId);
+  swap(a.targetAddress, b.targetAddress);
+  swap(a.__isset, b.__isset);
+}
+
+ProbeRequest::ProbeRequest(const ProbeRequest& other45) {
+  sequence = other45.sequence;
+  targetId = other45.targetId;
+  targetAddress = other45.targetAddress;
+  __isset = other45.__isset;
+}
+ProbeRequest::ProbeRequest(ProbeRequest&& other46) noexcept {
+  sequence = other46.sequence;
+  targetId = std::move(other46.targetId);
+  targetAddress = std::move(other46.targetAddress);
+  __isset = other46.__isset;
+}
+ProbeRequest& ProbeRequest::operator=(const ProbeRequest& other47) {
+  sequence = other47.sequence;
+  targetId = other47.targetId;
+  targetAddress = other47.targetAddress;
+  __isset = other47.__isset;
+  return *this;
+}
+ProbeRequest& ProbeRequest::operator=(ProbeRequest&& other48) noexcept {
+  sequence = other48.sequence;
+  targetId = std::move(other48.targetId);
+  targetAddress = std::move(other48.targetAddress);
+  __isset = other48.__isset;
+  return *this;
+}
+void ProbeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProbeRequest(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "targetId=" << to_string(targetId);
+  out << ", " << "targetAddress=" << to_string(targetAddress);
+  out << ")";
+}
+
+
+ProbeNack::~ProbeNack() noexcept {
+}
+
+
+void ProbeNack::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProbeNack& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProbeNack::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProbeNack::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProbeNack");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProbeNack &a, ProbeNack &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+ProbeNack::ProbeNack(const ProbeNack& other49) noexcept {
+  sequence = other49.sequence;
+  __isset = other49.__isset;
+}
+ProbeNack::ProbeNack(ProbeNack&& other50) noexcept {
+  sequence = other50.sequence;
+  __isset = other50.__isset;
+}
+ProbeNack& ProbeNack::operator=(const ProbeNack& other51) noexcept {
+  sequence = other51.sequence;
+  __isset = other51.__isset;
+  return *this;
+}
+ProbeNack& ProbeNack::operator=(ProbeNack&& other52) noexcept {
+  sequence = other52.sequence;
+  __isset = other52.__isset;
+  return *this;
+}
+void ProbeNack::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProbeNack(";
+  out << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+RosterPull::~RosterPull() noexcept {
+}
+
+
+void RosterPull::__set_bucketDigests(const std::string& val) {
+  this->bucketDigests = val;
+}
+std::ostream& operator<<(std::ostream& out, const RosterPull& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RosterPull::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bucketDigests);
+          this->__isset.bucketDigests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RosterPull::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RosterPull");
+
+  xfer += oprot->writeFieldBegin("bucketDigests", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->bucketDigests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RosterPull &a, RosterPull &b) {
+  using ::std::swap;
+  swap(a.bucketDigests, b.bucketDigests);
+  swap(a.__isset, b.__isset);
+}
+
+RosterPull::RosterPull(const RosterPull& other53) {
+  bucketDigests = other53.bucketDigests;
+  __isset = other53.__isset;
+}
+RosterPull::RosterPull(RosterPull&& other54) noexcept {
+  bucketDigests = std::move(other54.bucketDigests);
+  __isset = other54.__isset;
+}
+RosterPull& RosterPull::operator=(const RosterPull& other55) {
+  bucketDigests = other55.bucketDigests;
+  __isset = other55.__isset;
+  return *this;
+}
+RosterPull& RosterPull::operator=(RosterPull&& other56) noexcept {
+  bucketDigests = std::move(other56.bucketDigests);
+  __isset = other56.__isset;
+  return *this;
+}
+void RosterPull::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RosterPull(";
+  out << "bucketDigests=" << to_string(bucketDigests);
+  out << ")";
+}
+
+
+RosterRecords::~RosterRecords() noexcept {
+}
+
+
+void RosterRecords::__set_records(const std::vector<MemberRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const RosterRecords& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RosterRecords::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->records.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += this->records[_i61].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RosterRecords::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RosterRecords");
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<MemberRecord> ::const_iterator _iter62;
+    for (_iter62 = this->records.begin(); _iter62 != this->records.end(); ++_iter62)
+    {
+      xfer += (*_iter62).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RosterRecords &a, RosterRecords &b) {
+  using ::std::swap;
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+RosterRecords::RosterRecords(const RosterRecords& other63) {
+  records = other63.records;
+  __isset = other63.__isset;
+}
+RosterRecords::RosterRecords(RosterRecords&& other64) noexcept {
+  records = std::move(other64.records);
+  __isset = other64.__isset;
+}
+RosterRecords& RosterRecords::operator=(const RosterRecords& other65) {
+  records = other65.records;
+  __isset = other65.__isset;
+  return *this;
+}
+RosterRecords& RosterRecords::operator=(RosterRecords&& other66) noexcept {
+  records = std::move(other66.records);
+  __isset = other66.__isset;
+  return *this;
+}
+void RosterRecords::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RosterSync(";
+  out << "RosterRecords(";
   out << "records=" << to_string(records);
-  out << ", " << "wantReply=" << to_string(wantReply);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/membership_types.h
+++ b/cyclamenwind/wire/gen-cpp/membership_types.h
@@ -42,7 +42,17 @@
 
 class Gossip;
 
-class RosterSync;
+class Probe;
+
+class ProbeAck;
+
+class ProbeRequest;
+
+class ProbeNack;
+
+class RosterPull;
+
+class RosterRecords;
 
 typedef struct _Offer__isset {
   _Offer__isset() : serviceName(false), serverVersion(false), slots(false), draining(false) {}
@@ -208,9 +218,8 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : records(false), digest(false) {}
+  _Gossip__isset() : records(false) {}
   bool records :1;
-  bool digest :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -220,26 +229,20 @@
   Gossip(Gossip&&) noexcept;
   Gossip& operator=(const Gossip&);
   Gossip& operator=(Gossip&&) noexcept;
-  Gossip() noexcept
-         : digest(0) {
+  Gossip() noexcept {
   }
 
   virtual ~Gossip() noexcept;
   std::vector<MemberRecord>  records;
-  int64_t digest;
 
   _Gossip__isset __isset;
 
   void __set_records(const std::vector<MemberRecord> & val);
 
-  void __set_digest(const int64_t val);
-
   bool operator == (const Gossip & rhs) const
   {
     if (!(records == rhs.records))
       return false;
-    if (!(digest == rhs.digest))
-      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
@@ -258,46 +261,311 @@
 
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
-typedef struct _RosterSync__isset {
-  _RosterSync__isset() : records(false), wantReply(false) {}
+typedef struct _Probe__isset {
+  _Probe__isset() : sequence(false), targetId(false), digest(false), records(false) {}
+  bool sequence :1;
+  bool targetId :1;
+  bool digest :1;
   bool records :1;
-  bool wantReply :1;
-} _RosterSync__isset;
+} _Probe__isset;
 
-class RosterSync : public virtual ::apache::thrift::TBase {
+class Probe : public virtual ::apache::thrift::TBase {
  public:
 
-  RosterSync(const RosterSync&);
-  RosterSync(RosterSync&&) noexcept;
-  RosterSync& operator=(const RosterSync&);
-  RosterSync& operator=(RosterSync&&) noexcept;
-  RosterSync() noexcept
-             : wantReply(0) {
+  Probe(const Probe&);
+  Probe(Probe&&) noexcept;
+  Probe& operator=(const Probe&);
+  Probe& operator=(Probe&&) noexcept;
+  Probe() noexcept
+        : sequence(0),
+          targetId(),
+          digest(0) {
   }
 
-  virtual ~RosterSync() noexcept;
+  virtual ~Probe() noexcept;
+  int64_t sequence;
+  std::string targetId;
+  int64_t digest;
   std::vector<MemberRecord>  records;
-  bool wantReply;
 
-  _RosterSync__isset __isset;
+  _Probe__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_targetId(const std::string& val);
+
+  void __set_digest(const int64_t val);
 
   void __set_records(const std::vector<MemberRecord> & val);
 
-  void __set_wantReply(const bool val);
+  bool operator == (const Probe & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(targetId == rhs.targetId))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const Probe &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Probe & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Probe &a, Probe &b);
+
+std::ostream& operator<<(std::ostream& out, const Probe& obj);
+
+typedef struct _ProbeAck__isset {
+  _ProbeAck__isset() : sequence(false), digest(false), records(false) {}
+  bool sequence :1;
+  bool digest :1;
+  bool records :1;
+} _ProbeAck__isset;
+
+class ProbeAck : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProbeAck(const ProbeAck&);
+  ProbeAck(ProbeAck&&) noexcept;
+  ProbeAck& operator=(const ProbeAck&);
+  ProbeAck& operator=(ProbeAck&&) noexcept;
+  ProbeAck() noexcept
+           : sequence(0),
+             digest(0) {
+  }
+
+  virtual ~ProbeAck() noexcept;
+  int64_t sequence;
+  int64_t digest;
+  std::vector<MemberRecord>  records;
+
+  _ProbeAck__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_records(const std::vector<MemberRecord> & val);
 
-  bool operator == (const RosterSync & rhs) const
+  bool operator == (const ProbeAck & rhs) const
   {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
     if (!(records == rhs.records))
       return false;
-    if (!(wantReply == rhs.wantReply))
+    return true;
+  }
+  bool operator != (const ProbeAck &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProbeAck & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProbeAck &a, ProbeAck &b);
+
+std::ostream& operator<<(std::ostream& out, const ProbeAck& obj);
+
+typedef struct _ProbeRequest__isset {
+  _ProbeRequest__isset() : sequence(false), targetId(false), targetAddress(false) {}
+  bool sequence :1;
+  bool targetId :1;
+  bool targetAddress :1;
+} _ProbeRequest__isset;
+
+class ProbeRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProbeRequest(const ProbeRequest&);
+  ProbeRequest(ProbeRequest&&) noexcept;
+  ProbeRequest& operator=(const ProbeRequest&);
+  ProbeRequest& operator=(ProbeRequest&&) noexcept;
+  ProbeRequest() noexcept
+               : sequence(0),
+                 targetId(),
+                 targetAddress() {
+  }
+
+  virtual ~ProbeRequest() noexcept;
+  int64_t sequence;
+  std::string targetId;
+  std::string targetAddress;
+
+  _ProbeRequest__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_targetId(const std::string& val);
+
+  void __set_targetAddress(const std::string& val);
+
+  bool operator == (const ProbeRequest & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(targetId == rhs.targetId))
+      return false;
+    if (!(targetAddress == rhs.targetAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const ProbeRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProbeRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProbeRequest &a, ProbeRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ProbeRequest& obj);
+
+typedef struct _ProbeNack__isset {
+  _ProbeNack__isset() : sequence(false) {}
+  bool sequence :1;
+} _ProbeNack__isset;
+
+class ProbeNack : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProbeNack(const ProbeNack&) noexcept;
+  ProbeNack(ProbeNack&&) noexcept;
+  ProbeNack& operator=(const ProbeNack&) noexcept;
+  ProbeNack& operator=(ProbeNack&&) noexcept;
+  ProbeNack() noexcept
+            : sequence(0) {
+  }
+
+  virtual ~ProbeNack() noexcept;
+  int64_t sequence;
+
+  _ProbeNack__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const ProbeNack & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const ProbeNack &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProbeNack & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProbeNack &a, ProbeNack &b);
+
+std::ostream& operator<<(std::ostream& out, const ProbeNack& obj);
+
+typedef struct _RosterPull__isset {
+  _RosterPull__isset() : bucketDigests(false) {}
+  bool bucketDigests :1;
+} _RosterPull__isset;
+
+class RosterPull : public virtual ::apache::thrift::TBase {
+ public:
+
+  RosterPull(const RosterPull&);
+  RosterPull(RosterPull&&) noexcept;
+  RosterPull& operator=(const RosterPull&);
+  RosterPull& operator=(RosterPull&&) noexcept;
+  RosterPull() noexcept
+             : bucketDigests() {
+  }
+
+  virtual ~RosterPull() noexcept;
+  std::string bucketDigests;
+
+  _RosterPull__isset __isset;
+
+  void __set_bucketDigests(const std::string& val);
+
+  bool operator == (const RosterPull & rhs) const
+  {
+    if (!(bucketDigests == rhs.bucketDigests))
+      return false;
+    return true;
+  }
+  bool operator != (const RosterPull &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RosterPull & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RosterPull &a, RosterPull &b);
+
+std::ostream& operator<<(std::ostream& out, const RosterPull& obj);
+
+typedef struct _RosterRecords__isset {
+  _RosterRecords__isset() : records(false) {}
+  bool records :1;
+} _RosterRecords__isset;
+
+class RosterRecords : public virtual ::apache::thrift::TBase {
+ public:
+
+  RosterRecords(const RosterRecords&);
+  RosterRecords(RosterRecords&&) noexcept;
+  RosterRecords& operator=(const RosterRecords&);
+  RosterRecords& operator=(RosterRecords&&) noexcept;
+  RosterRecords() noexcept {
+  }
+
+  virtual ~RosterRecords() noexcept;
+  std::vector<MemberRecord>  records;
+
+  _RosterRecords__isset __isset;
+
+  void __set_records(const std::vector<MemberRecord> & val);
+
+  bool operator == (const RosterRecords & rhs) const
+  {
+    if (!(records == rhs.records))
       return false;
     return true;
   }
-  bool operator != (const RosterSync &rhs) const {
+  bool operator != (const RosterRecords &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const RosterSync & ) const;
+  bool operator < (const RosterRecords & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -305,9 +573,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(RosterSync &a, RosterSync &b);
+void swap(RosterRecords &a, RosterRecords &b);
 
-std::ostream& operator<<(std::ostream& out, const RosterSync& obj);
+std::ostream& operator<<(std::ostream& out, const RosterRecords& obj);
 
 }} // namespace
 
--- a/cyclamenwind/wire/membership.thrift
+++ b/cyclamenwind/wire/membership.thrift
@@ -30,14 +30,45 @@
   8: i64 configVersion
 }
 
-// Recent changes; digest covers the sender's whole roster.
+// Recent changes, passed on by the receiver.
 struct Gossip {
   1: list<MemberRecord> records
+}
+
+// Asks the receiver to show that it is targetId and alive.
+struct Probe {
+  1: i64 sequence
+  2: string targetId
+  // Digest of the sender's roster.
+  3: i64 digest
+  4: list<MemberRecord> records
+}
+
+struct ProbeAck {
+  1: i64 sequence
   2: i64 digest
+  3: list<MemberRecord> records
+}
+
+// Asks the receiver to probe the target and to pass on its ack.
+struct ProbeRequest {
+  1: i64 sequence
+  2: string targetId
+  3: string targetAddress
+}
+
+// The receiver of a ProbeRequest got no ack either.
+struct ProbeNack {
+  1: i64 sequence
+}
+
+// Digests of the sender's buckets, four octets each, big endian; asks for the
+// records of the buckets that differ.
+struct RosterPull {
+  1: binary bucketDigests
 }
 
-// Whole roster, sent when digests differ. wantReply asks for the receiver's.
-struct RosterSync {
+// Records that a pull asked for; not passed on.
+struct RosterRecords {
   1: list<MemberRecord> records
-  2: bool wantReply
 }
