--- a/cyclamenwind/http/client.cpp
+++ b/cyclamenwind/http/client.cpp
@@ -2,6 +2,11 @@
 
 #include "cyclamenwind/base/names.h"
 
+#include <charconv>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -10,10 +15,20 @@
 namespace cyclamenwind {
 namespace {
 
-constexpr std::array<EnumName<HttpClientErrorCode>, 4> CodeNames = {{
+// How long segments may stay unacknowledged.
+constexpr Duration SilenceLimit = 2s;
+// Probes on a connection without traffic.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAlivePeriodSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+// Above any call's deadline, which ends a request first.
+constexpr int EvhttpTimeoutSeconds = 3600;
+
+constexpr std::array<EnumName<HttpClientErrorCode>, 5> CodeNames = {{
     {HttpClientErrorCode::ConnectFailed, "connect_failed"},
     {HttpClientErrorCode::ConnectionLost, "connection_lost"},
     {HttpClientErrorCode::TimedOut, "timed_out"},
+    {HttpClientErrorCode::BadResponse, "bad_response"},
     {HttpClientErrorCode::ResponseTooLarge, "response_too_large"},
 }};
 
@@ -31,6 +46,58 @@
   return EVHTTP_REQ_GET;
 }
 
+void setOption(evutil_socket_t Socket, int Level, int Name, int Value) {
+  setsockopt(Socket, Level, Name, &Value, sizeof Value);
+}
+
+// Has the kernel end the connection when the other end's kernel is silent.
+void watchForSilence(evutil_socket_t Socket) {
+  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAlivePeriodSeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(milliseconds(SilenceLimit)));
+}
+
+// Whether an idle connection is open and has nothing to read.
+bool isQuiet(evhttp_connection *Connection) {
+  bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+  if (evbuffer_get_length(bufferevent_get_input(Stream)) != 0)
+    return false;
+  char Octet = 0;
+  evutil_socket_t Socket = bufferevent_getfd(Stream);
+  return ::recv(Socket, &Octet, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool allowsBody(const HttpResponse &Response, bool Head) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return !Head && Response.Status != NoContent &&
+         Response.Status != NotModified;
+}
+
+// Whether the end of Response's body is certain.
+bool isWhole(const HttpResponse &Response, bool Head) {
+  constexpr int FirstFinalStatus = 200;
+  if (Response.Status < FirstFinalStatus)
+    return false;
+  if (!allowsBody(Response, Head))
+    return true;
+  size_t Lengths = countHeaders(Response.Headers, "Content-Length");
+  size_t Encodings = countHeaders(Response.Headers, "Transfer-Encoding");
+  if (Lengths + Encodings != 1)
+    return false;
+  const std::string *Length = findHeader(Response.Headers, "Content-Length");
+  if (Length == nullptr)
+    return true;
+  size_t Bytes = 0;
+  const char *Last = Length->data() + Length->size();
+  auto [Rest, Error] = std::from_chars(Length->data(), Last, Bytes);
+  return Error == std::errc() && Rest == Last && Bytes == Response.Body.size();
+}
+
 HttpResponse responseOf(evhttp_request *Raw) {
   HttpResponse Response;
   Response.Status = evhttp_request_get_response_code(Raw);
@@ -68,6 +135,7 @@
   }
 
   void begin(const HttpRequest &Request, Duration Timeout) {
+    Head = Request.Method == "HEAD";
     Raw = evhttp_request_new(&Call::completed, this);
     evhttp_request_set_error_cb(Raw, &Call::failed);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Raw);
@@ -97,12 +165,22 @@
 private:
   static void outputChanged(evbuffer *, const evbuffer_cb_info *Info,
                             void *Self) {
+    auto *This = static_cast<Call *>(Self);
     if (Info->n_deleted > 0)
-      static_cast<Call *>(Self)->FirstByteOut = true;
+      This->FirstByteOut = true;
+    if (Info->n_added == 0 || This->Watching)
+      return;
+    This->Watching = true;
+    watchForSilence(
+        bufferevent_getfd(evhttp_connection_get_bufferevent(This->Connection)));
   }
 
   static void failed(evhttp_request_error Error, void *Self) {
-    static_cast<Call *>(Self)->TooLarge = Error == EVREQ_HTTP_DATA_TOO_LONG;
+    auto *This = static_cast<Call *>(Self);
+    if (Error == EVREQ_HTTP_DATA_TOO_LONG)
+      This->Rejected = HttpClientErrorCode::ResponseTooLarge;
+    if (Error == EVREQ_HTTP_INVALID_HEADER)
+      This->Rejected = HttpClientErrorCode::BadResponse;
   }
 
   static void completed(evhttp_request *Raw, void *Self) {
@@ -121,14 +199,17 @@
       return;
     }
     HttpResponse Response = responseOf(Finished);
-    const std::string *Close = findHeader(Response.Headers, "Connection");
-    bool Reuse = Close == nullptr || *Close != "close";
-    finish(std::move(Response), Reuse);
+    if (!isWhole(Response, Head)) {
+      finish(HttpClientError{HttpClientErrorCode::BadResponse, FirstByteOut},
+             /*Reuse=*/false);
+      return;
+    }
+    finish(std::move(Response), /*Reuse=*/isQuiet(Connection));
   }
 
   HttpClientError failure() const {
-    if (TooLarge)
-      return {HttpClientErrorCode::ResponseTooLarge, FirstByteOut};
+    if (Rejected)
+      return {*Rejected, FirstByteOut};
     if (FirstByteOut)
       return {HttpClientErrorCode::ConnectionLost, true};
     return {HttpClientErrorCode::ConnectFailed, false};
@@ -165,7 +246,9 @@
   evbuffer_cb_entry *Watch;
   TimerHandle Deadline;
   bool FirstByteOut = false;
-  bool TooLarge = false;
+  std::optional<HttpClientErrorCode> Rejected;
+  bool Head = false;
+  bool Watching = false;
   bool Starting = false;
   bool FailedAtStart = false;
 };
@@ -195,17 +278,24 @@
 
 evhttp_connection *HttpClient::claim(const Address &To) {
   Pool &ThePool = Pools[To];
-  if (!ThePool.Idle.empty()) {
+  while (!ThePool.Idle.empty()) {
     evhttp_connection *Connection = ThePool.Idle.back();
     ThePool.Idle.pop_back();
-    return Connection;
+    if (isQuiet(Connection))
+      return Connection;
+    discard(To, Connection);
   }
+  return open(To);
+}
+
+evhttp_connection *HttpClient::open(const Address &To) {
   evhttp_connection *Connection = evhttp_connection_base_new(
       TheLoop.base(), nullptr, To.Host.c_str(), To.Port);
   evhttp_connection_set_retries(Connection, 0);
+  evhttp_connection_set_timeout(Connection, EvhttpTimeoutSeconds);
   evhttp_connection_set_max_body_size(
       Connection, static_cast<ev_ssize_t>(Options.MaxBodyBytes));
-  ++ThePool.Open;
+  ++Pools[To].Open;
   return Connection;
 }
 
--- a/cyclamenwind/http/client.h
+++ b/cyclamenwind/http/client.h
@@ -3,6 +3,13 @@
 // Each connection carries one request at a time. Nothing is ever sent twice:
 // evhttp's own retries are off, and a request whose connection fails is
 // reported with whether its first byte had been handed to the kernel.
+//
+// A response is whole only if its end can be verified: it has exactly one of
+// Content-Length and Transfer-Encoding, or its status or method allows no body.
+// A kept connection that the server has closed, or on which it sent bytes
+// without a request, is not used again. A connection whose segments are no
+// longer acknowledged is ended by the kernel within SilenceLimit; a slow server
+// acknowledges them.
 
 #ifndef CYCLAMENWIND_HTTP_CLIENT_H
 #define CYCLAMENWIND_HTTP_CLIENT_H
@@ -26,6 +33,7 @@
   ConnectFailed,  // No connection; nothing was sent.
   ConnectionLost, // The connection broke before a whole response came.
   TimedOut,
+  BadResponse, // Malformed, or of a length that cannot be verified.
   ResponseTooLarge,
 };
 
@@ -91,6 +99,7 @@
   evhttp_connection *claim(const Address &To);
   void release(const Address &To, evhttp_connection *Connection);
   void discard(const Address &To, evhttp_connection *Connection);
+  evhttp_connection *open(const Address &To);
 
   Loop &TheLoop;
   HttpClientOptions Options;
--- a/cyclamenwind/http/message.cpp
+++ b/cyclamenwind/http/message.cpp
@@ -28,6 +28,14 @@
   return nullptr;
 }
 
+size_t countHeaders(const HttpHeaders &Headers, std::string_view Name) {
+  size_t Count = 0;
+  for (const HttpHeader &Each : Headers)
+    if (sameName(Each.Name, Name))
+      ++Count;
+  return Count;
+}
+
 bool isHopByHop(std::string_view Name) {
   for (std::string_view Each : HopByHop)
     if (sameName(Each, Name))
--- a/cyclamenwind/http/message.h
+++ b/cyclamenwind/http/message.h
@@ -20,6 +20,9 @@
 const std::string *findHeader(const HttpHeaders &Headers,
                               std::string_view Name);
 
+// Number of headers called Name (case-insensitive).
+size_t countHeaders(const HttpHeaders &Headers, std::string_view Name);
+
 // Whether the header concerns one connection only and must not be passed on.
 bool isHopByHop(std::string_view Name);
 
--- a/cyclamenwind/http/server.cpp
+++ b/cyclamenwind/http/server.cpp
@@ -55,23 +55,39 @@
   return Request;
 }
 
+bool isNumber(std::string_view Text) {
+  return !Text.empty() &&
+         Text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 bool hasAmbiguousLength(const HttpRequest &Request) {
-  int Lengths = 0;
-  for (const HttpHeader &Each : Request.Headers) {
-    std::string_view Name = Each.Name;
-    HttpHeaders One = {{std::string(Name), ""}};
-    if (findHeader(One, "Content-Length") != nullptr ||
-        findHeader(One, "Transfer-Encoding") != nullptr)
-      ++Lengths;
-  }
-  return Lengths > 1;
+  size_t Lengths = countHeaders(Request.Headers, "Content-Length");
+  size_t Encodings = countHeaders(Request.Headers, "Transfer-Encoding");
+  if (Lengths + Encodings == 0)
+    return false;
+  if (Lengths + Encodings > 1)
+    return true;
+  bool TakesBody = Request.Method != "GET" && Request.Method != "HEAD";
+  if (Encodings == 1)
+    return !TakesBody ||
+           evutil_ascii_strcasecmp(
+               findHeader(Request.Headers, "Transfer-Encoding")->c_str(),
+               "chunked") != 0;
+  const std::string &Length = *findHeader(Request.Headers, "Content-Length");
+  return !isNumber(Length) ||
+         (!TakesBody && Length.find_first_not_of('0') != std::string::npos);
 }
 
+} // namespace
+
 // An evhttp request. Destroying it unanswered answers 500.
 class HttpExchange final : public Exchange {
 public:
-  HttpExchange(evhttp_request *Raw, Loop &TheLoop)
-      : TheLoop(TheLoop), Raw(Raw), Request(requestOf(Raw)) {}
+  HttpExchange(evhttp_request *Raw, HttpServer &Server)
+      : Server(&Server), Raw(Raw), Request(requestOf(Raw)),
+        Head(Request.Method == "HEAD") {
+    Server.Open.insert(this);
+  }
   ~HttpExchange() override {
     if (Raw != nullptr)
       reply({500, {}, "no answer was given\n"});
@@ -85,15 +101,22 @@
   void abandon() override;
   void onPeerGone(std::function<void()> Action) override;
 
+  // The server is being destroyed; evhttp frees the request.
+  void detach();
+
 private:
   void forgetPeer();
+  void countFlush();
   static void peerClosed(int, short, void *Self);
+  static void connectionFreed(evhttp_connection *, void *Self);
 
-  Loop &TheLoop;
+  HttpServer *Server; // Valid while Raw is set.
   evhttp_request *Raw;
   HttpRequest Request;
+  bool Head;
   event *CloseEvent = nullptr;
   std::function<void()> PeerGone;
+  std::shared_ptr<bool> Waiting; // Whether PeerGone is still wanted.
 };
 
 void HttpExchange::reply(const HttpResponse &Response) {
@@ -103,10 +126,37 @@
   evkeyvalq *Headers = evhttp_request_get_output_headers(Raw);
   for (const HttpHeader &Each : Response.Headers)
     evhttp_add_header(Headers, Each.Name.c_str(), Each.Value.c_str());
-  evbuffer *Body = evhttp_request_get_output_buffer(Raw);
-  evbuffer_add(Body, Response.Body.data(), Response.Body.size());
-  evhttp_send_reply(Raw, Response.Status, nullptr, nullptr);
+  // evhttp would send a body even where the method forbids it.
+  if (!Head)
+    evbuffer_add(evhttp_request_get_output_buffer(Raw), Response.Body.data(),
+                 Response.Body.size());
+  countFlush();
+  evhttp_request *Answered = Raw;
   Raw = nullptr;
+  Server->Open.erase(this);
+  evhttp_send_reply(Answered, Response.Status, nullptr, nullptr);
+}
+
+// Counts the response until evhttp has written it or freed the connection.
+void HttpExchange::countFlush() {
+  evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+  if (Connection == nullptr)
+    return;
+  ++Server->Flushing;
+  evhttp_request_set_on_complete_cb(
+      Raw,
+      [](evhttp_request *Written, void *Counter) {
+        --*static_cast<size_t *>(Counter);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(Written),
+                                      nullptr, nullptr);
+      },
+      &Server->Flushing);
+  evhttp_connection_set_closecb(
+      Connection,
+      [](evhttp_connection *, void *Counter) {
+        --*static_cast<size_t *>(Counter);
+      },
+      &Server->Flushing);
 }
 
 void HttpExchange::abandon() {
@@ -119,15 +169,25 @@
     return;
   }
   Raw = nullptr;
+  Server->Open.erase(this);
   // Deferred, since evhttp may be using the connection now.
-  TheLoop.defer([Connection] { evhttp_connection_free(Connection); });
+  Server->TheLoop.defer([Connection] { evhttp_connection_free(Connection); });
+}
+
+void HttpExchange::detach() {
+  forgetPeer();
+  Raw = nullptr;
 }
 
 void HttpExchange::forgetPeer() {
-  if (CloseEvent != nullptr)
-    event_free(CloseEvent);
+  if (CloseEvent == nullptr)
+    return;
+  event_free(CloseEvent);
   CloseEvent = nullptr;
   PeerGone = nullptr;
+  *Waiting = false;
+  if (evhttp_connection *Connection = evhttp_request_get_connection(Raw))
+    evhttp_connection_set_closecb(Connection, nullptr, nullptr);
 }
 
 void HttpExchange::onPeerGone(std::function<void()> Action) {
@@ -136,11 +196,14 @@
   if (Connection == nullptr)
     return;
   PeerGone = std::move(Action);
+  Waiting = std::make_shared<bool>(true);
   evutil_socket_t Descriptor =
       bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
-  CloseEvent = event_new(TheLoop.base(), Descriptor, EV_CLOSED,
+  CloseEvent = event_new(Server->TheLoop.base(), Descriptor, EV_CLOSED,
                          &HttpExchange::peerClosed, this);
   event_add(CloseEvent, nullptr);
+  evhttp_connection_set_closecb(Connection, &HttpExchange::connectionFreed,
+                                this);
 }
 
 void HttpExchange::peerClosed(int, short, void *Self) {
@@ -150,7 +213,18 @@
     Action();
 }
 
-} // namespace
+// evhttp itself frees the connection, and its descriptor with it. The action is
+// deferred, since it may reply, and evhttp is in the middle of the connection.
+void HttpExchange::connectionFreed(evhttp_connection *, void *Self) {
+  auto *Exchange = static_cast<HttpExchange *>(Self);
+  event_free(Exchange->CloseEvent);
+  Exchange->CloseEvent = nullptr;
+  Exchange->Server->TheLoop.defer(
+      [Wanted = Exchange->Waiting, Action = std::move(Exchange->PeerGone)] {
+        if (*Wanted && Action)
+          Action();
+      });
+}
 
 Result<std::unique_ptr<HttpServer>, HttpServerError>
 HttpServer::listen(Loop &TheLoop, const Address &Listen,
@@ -177,7 +251,11 @@
   evhttp_set_gencb(Http, &HttpServer::handle, this);
 }
 
-HttpServer::~HttpServer() { evhttp_free(Http); }
+HttpServer::~HttpServer() {
+  for (HttpExchange *Each : Open)
+    Each->detach();
+  evhttp_free(Http);
+}
 
 void HttpServer::stopAccepting() {
   if (Socket != nullptr)
@@ -187,11 +265,11 @@
 
 void HttpServer::handle(evhttp_request *Raw, void *Self) {
   auto *Server = static_cast<HttpServer *>(Self);
-  ExchangePtr Received = std::make_shared<HttpExchange>(Raw, Server->TheLoop);
+  ExchangePtr Received = std::make_shared<HttpExchange>(Raw, *Server);
   if (hasAmbiguousLength(Received->request())) {
     Received->reply({400,
                      {{"Connection", "close"}},
-                     "the length of the body is ambiguous\n"});
+                     "the length of the request is ambiguous\n"});
     return;
   }
   Server->Handler(std::move(Received));
--- a/cyclamenwind/http/server.h
+++ b/cyclamenwind/http/server.h
@@ -2,8 +2,10 @@
 // answers now or later.
 //
 // evhttp enforces the limits on headers and body and answers malformed requests
-// itself; a request with both Content-Length and Transfer-Encoding is refused
-// here, since intermediaries disagree on its length.
+// itself; a request on whose length intermediaries could disagree is refused
+// here with 400, and its connection closed: several length headers, a length
+// that is not a plain number, a coding other than chunked, or a body where
+// evhttp reads none (GET and HEAD).
 
 #ifndef CYCLAMENWIND_HTTP_SERVER_H
 #define CYCLAMENWIND_HTTP_SERVER_H
@@ -13,6 +15,8 @@
 #include "cyclamenwind/base/result.h"
 #include "cyclamenwind/http/exchange.h"
 
+#include <set>
+
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_request;
@@ -26,6 +30,8 @@
 
 enum class HttpServerError { AddressInUse };
 
+class HttpExchange;
+
 class HttpServer {
 public:
   // Binds Listen and serves until destroyed.
@@ -40,7 +46,12 @@
   // Accepts no further connections; open ones are served on.
   void stopAccepting();
 
+  // Requests whose response has not been handed to the kernel as a whole.
+  size_t unfinished() const { return Open.size() + Flushing; }
+
 private:
+  friend class HttpExchange;
+
   HttpServer(Loop &TheLoop, ExchangeHandler Handler);
   static void handle(evhttp_request *Raw, void *Self);
 
@@ -48,6 +59,8 @@
   ExchangeHandler Handler;
   evhttp *Http;
   evhttp_bound_socket *Socket = nullptr;
+  std::set<HttpExchange *> Open;
+  size_t Flushing = 0;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -24,6 +24,7 @@
   // Streams.
   Hello = 1,
   Heartbeat = 2,
+  Goodbye = 3,
   // Calls.
   CallRequest = 10,
   CallReply = 11,
--- a/cyclamenwind/peer/link.cpp
+++ b/cyclamenwind/peer/link.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 Link::Link(Loop &TheLoop, LinkOwner &Owner, const Address &To)
-    : Peer(To), TheLoop(TheLoop), Owner(Owner) {
+    : Peer(To), TheLoop(TheLoop), Owner(Owner), Outgoing(true) {
   open(-1);
   sockaddr_in Socket = To.socketAddress();
   bufferevent_socket_connect(Stream, reinterpret_cast<sockaddr *>(&Socket),
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -38,8 +38,17 @@
   TimePoint created() const { return Created; }
   bool connected() const { return Connected; }
 
+  // Whether this side opened the stream.
+  bool outgoing() const { return Outgoing; }
+
   // The peer's listening address; unset on an accepted link before its Hello.
   std::optional<Address> Peer;
+  // The peer's process; 0 before its Hello.
+  int64_t PeerInstance = 0;
+
+  // Steps of closing by agreement.
+  enum class Farewell { None, Said, Answered };
+  Farewell Leaving = Farewell::None;
 
 private:
   void open(evutil_socket_t Descriptor);
@@ -51,6 +60,7 @@
   LinkOwner &Owner;
   bufferevent *Stream = nullptr;
   bool Connected = false;
+  bool Outgoing = false;
   TimePoint Created;
   TimePoint LastHeard;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -14,6 +14,9 @@
 constexpr int32_t ProtocolVersion = 1;
 constexpr Duration HeartbeatPeriod = 500ms;
 constexpr Duration SilenceLimit = 2s;
+constexpr Duration ConnectLimit = 1s;
+// A check this late means that this process was paused.
+constexpr Duration PauseLimit = 2 * HeartbeatPeriod;
 constexpr Duration IdleLimit = 60s;
 constexpr int ListenBacklog = 1024;
 constexpr int DatagramBufferBytes = 1 << 20;
@@ -22,6 +25,13 @@
 
 } // namespace
 
+template <typename T>
+void TcpTransport::sendOn(Link &To, FrameType Type, const T &Message) {
+  std::string Payload = encodeMessage(Message);
+  To.send(Type, Payload);
+  count(Type, Payload.size());
+}
+
 Result<std::unique_ptr<TcpTransport>, PeerTransportError>
 TcpTransport::listen(Loop &TheLoop, const Address &Self) {
   std::unique_ptr<TcpTransport> Transport(new TcpTransport(TheLoop, Self));
@@ -67,10 +77,22 @@
 }
 
 void TcpTransport::start(Kernel &Host) {
+  Instance = static_cast<int64_t>(Host.random().next() | 1);
+  LastCheck = TheLoop.now();
   HeartbeatTimer = Host.scheduler().every(
       HeartbeatPeriod, [this] { checkLinks(TheLoop.now()); });
 }
 
+void TcpTransport::leave() {
+  Leaving = true;
+  if (Listener != nullptr)
+    evconnlistener_free(Listener);
+  Listener = nullptr;
+  for (auto &[Each, Owned] : Links)
+    if (Each->Leaving == Link::Farewell::None)
+      retire(*Each);
+}
+
 void TcpTransport::handle(FrameType Type, FrameHandler Handler) {
   Handlers[indexOf(Type)] = std::move(Handler);
 }
@@ -81,6 +103,8 @@
 
 void TcpTransport::send(const Address &To, FrameType Type,
                         std::string_view Payload) {
+  if (Leaving && ByPeer.count(To) == 0)
+    return;
   Link &TheLink = linkTo(To);
   LastUsed[&TheLink] = TheLoop.now();
   TheLink.send(Type, Payload);
@@ -120,13 +144,16 @@
   Link *TheLink = Created.get();
   Links[TheLink] = std::move(Created);
   ByPeer[To] = TheLink;
+  greetBack(*TheLink);
+  return *TheLink;
+}
+
+void TcpTransport::greetBack(Link &To) {
   wire::Hello Greeting;
   Greeting.protocol = ProtocolVersion;
   Greeting.peerAddress = Self.text();
-  std::string Payload = encodeMessage(Greeting);
-  TheLink->send(FrameType::Hello, Payload);
-  count(FrameType::Hello, Payload.size());
-  return *TheLink;
+  Greeting.instance = Instance;
+  sendOn(To, FrameType::Hello, Greeting);
 }
 
 void TcpTransport::accepted(evconnlistener *, evutil_socket_t Descriptor,
@@ -152,6 +179,10 @@
     answerHeartbeat(From, Payload);
     return;
   }
+  if (Type == FrameType::Goodbye) {
+    answerGoodbye(From, Payload);
+    return;
+  }
   LastUsed[&From] = TheLoop.now();
   dispatch(*From.Peer, Type, Payload);
 }
@@ -167,8 +198,30 @@
     down(From);
     return;
   }
+  From.PeerInstance = Greeting.value().instance;
+  if (From.outgoing())
+    return;
   From.Peer = Peer;
-  ByPeer.emplace(*Peer, &From);
+  greetBack(From);
+  adopt(From);
+}
+
+// Decides which stream of a pair carries what is sent from now on.
+void TcpTransport::adopt(Link &From) {
+  const Address &Peer = *From.Peer;
+  auto [Position, IsNew] = ByPeer.emplace(Peer, &From);
+  if (IsNew)
+    return;
+  Link *Old = Position->second;
+  bool Restarted =
+      Old->PeerInstance != 0 && Old->PeerInstance != From.PeerInstance;
+  if (Old->outgoing() && !Restarted && Self < Peer)
+    return;
+  Position->second = &From;
+  if (Restarted)
+    down(*Old);
+  else if (Old->outgoing())
+    retire(*Old);
 }
 
 void TcpTransport::answerHeartbeat(Link &From, std::string_view Payload) {
@@ -178,9 +231,31 @@
     return;
   wire::Heartbeat Reply = Beat.value();
   Reply.reply = true;
-  std::string Encoded = encodeMessage(Reply);
-  From.send(FrameType::Heartbeat, Encoded);
-  count(FrameType::Heartbeat, Encoded.size());
+  sendOn(From, FrameType::Heartbeat, Reply);
+}
+
+void TcpTransport::retire(Link &Surplus) {
+  Surplus.Leaving = Link::Farewell::Said;
+  sendOn(Surplus, FrameType::Goodbye, wire::Goodbye());
+}
+
+void TcpTransport::answerGoodbye(Link &From, std::string_view Payload) {
+  Result<wire::Goodbye, FrameError> Word =
+      decodeMessage<wire::Goodbye>(Payload);
+  if (!Word)
+    return;
+  if (Word.value().reply) {
+    From.Leaving = Link::Farewell::Answered;
+    return;
+  }
+  auto Found = ByPeer.find(*From.Peer);
+  if (!Leaving && Found != ByPeer.end() && Found->second == &From)
+    ByPeer.erase(Found);
+  if (From.Leaving == Link::Farewell::None)
+    From.Leaving = Link::Farewell::Answered;
+  wire::Goodbye Reply;
+  Reply.reply = true;
+  sendOn(From, FrameType::Goodbye, Reply);
 }
 
 void TcpTransport::down(Link &Ended) {
@@ -192,34 +267,58 @@
   auto Found = ByPeer.find(*Kept->Peer);
   if (Found != ByPeer.end() && Found->second == &Ended)
     ByPeer.erase(Found);
-  LinkEnd End = Kept->connected() ? LinkEnd::Lost : LinkEnd::NeverConnected;
+  LinkEnd End = LinkEnd::NeverConnected;
+  if (Kept->Leaving == Link::Farewell::Answered)
+    End = LinkEnd::Retired;
+  else if (Kept->connected() || Kept->Leaving == Link::Farewell::Said)
+    End = LinkEnd::Lost;
   for (const LinkDownHandler &Each : DownHandlers)
     Each(*Kept->Peer, End);
 }
 
-// Ends silent and idle streams; sends a heartbeat on the others.
+// Ends finished streams, retires idle ones, sends a heartbeat on the others.
 void TcpTransport::checkLinks(TimePoint Now) {
+  if (Now - LastCheck > PauseLimit)
+    TrustedFrom = Now;
+  LastCheck = Now;
   std::vector<Link *> Ended;
   wire::Heartbeat Beat;
   Beat.sequence = ++HeartbeatSequence;
-  std::string Payload = encodeMessage(Beat);
   for (auto &[Each, Owned] : Links) {
-    bool Silent = Now - Each->lastHeard() > SilenceLimit;
-    bool Idle = Now - LastUsed[Each] > IdleLimit;
-    if (Silent || Idle) {
+    if (finished(*Each, Now)) {
       Ended.push_back(Each);
       continue;
     }
     if (!Each->connected())
       continue;
-    Each->send(FrameType::Heartbeat, Payload);
-    count(FrameType::Heartbeat, Payload.size());
+    if (idle(*Each, Now))
+      retire(*Each);
+    sendOn(*Each, FrameType::Heartbeat, Beat);
   }
   for (Link *Each : Ended)
     if (Links.count(Each) != 0)
       down(*Each);
 }
 
+bool TcpTransport::finished(const Link &Checked, TimePoint Now) const {
+  if (Checked.Leaving == Link::Farewell::Answered && Checked.backlog() == 0 &&
+      Now - LastUsed.at(&Checked) > HeartbeatPeriod)
+    return true;
+  Duration Limit = Checked.connected() ? SilenceLimit : ConnectLimit;
+  return Now - std::max(Checked.lastHeard(), TrustedFrom) > Limit;
+}
+
+// An idle stream is no longer used for sending once it retires.
+bool TcpTransport::idle(Link &Checked, TimePoint Now) {
+  if (Checked.Leaving != Link::Farewell::None || !Checked.Peer ||
+      Now - LastUsed[&Checked] <= IdleLimit)
+    return false;
+  auto Found = ByPeer.find(*Checked.Peer);
+  if (Found != ByPeer.end() && Found->second == &Checked)
+    ByPeer.erase(Found);
+  return true;
+}
+
 void TcpTransport::count(FrameType Type, size_t Bytes) {
   FrameCount &Total = Counts[indexOf(Type)];
   ++Total.Frames;
--- a/cyclamenwind/peer/tcp_transport.h
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -1,9 +1,15 @@
 // TcpTransport: PeerTransport over TCP streams and UDP datagrams.
 //
-// Each stream begins with a Hello that names the sender's listening address, so
-// that both directions of a pair share a stream. Streams carry heartbeats; one
-// that is silent for SilenceLimit, or does not connect within it, is ended.
-// A stream without other traffic for IdleLimit is closed.
+// Each stream begins with a Hello in both directions that names the sender's
+// listening address, so that both directions of a pair share a stream. When a
+// pair opens two streams at once, the one opened by the lower address stays.
+// Streams carry heartbeats; one that is silent for SilenceLimit, or does not
+// connect within ConnectLimit, is ended. A process that has itself been paused
+// accuses no one before it has read what came meanwhile.
+//
+// A stream that is surplus, or without other traffic for IdleLimit, is closed
+// by agreement: Goodbye, the peer's reply, then the close. Nothing sent on it
+// is lost, so its end is no evidence about calls.
 
 #ifndef CYCLAMENWIND_PEER_TCP_TRANSPORT_H
 #define CYCLAMENWIND_PEER_TCP_TRANSPORT_H
@@ -33,6 +39,11 @@
   std::string_view name() const override { return "peers"; }
   void start(Kernel &Host) override;
 
+  // Accepts no further streams and closes all by agreement.
+  void leave();
+  // Streams still open.
+  size_t links() const { return Links.size(); }
+
   void handle(FrameType Type, FrameHandler Handler) override;
   void onLinkDown(LinkDownHandler Handler) override;
   void send(const Address &To, FrameType Type,
@@ -51,8 +62,15 @@
   void frame(Link &From, FrameType Type, std::string_view Payload) override;
   void down(Link &Ended) override;
   void greet(Link &From, std::string_view Payload);
+  void greetBack(Link &To);
+  void adopt(Link &From);
   void answerHeartbeat(Link &From, std::string_view Payload);
+  void retire(Link &Surplus);
+  void answerGoodbye(Link &From, std::string_view Payload);
   void checkLinks(TimePoint Now);
+  bool finished(const Link &Checked, TimePoint Now) const;
+  bool idle(Link &Checked, TimePoint Now);
+  template <typename T> void sendOn(Link &To, FrameType Type, const T &Message);
   void count(FrameType Type, size_t Bytes);
   void dispatch(const Address &From, FrameType Type, std::string_view Payload);
   Link &linkTo(const Address &To);
@@ -71,9 +89,13 @@
   std::vector<LinkDownHandler> DownHandlers;
   std::map<Link *, std::unique_ptr<Link>> Links;
   std::map<Address, Link *> ByPeer;
-  std::map<Link *, TimePoint> LastUsed;
+  std::map<const Link *, TimePoint> LastUsed;
   TimerHandle HeartbeatTimer;
   int64_t HeartbeatSequence = 0;
+  int64_t Instance = 1;
+  TimePoint LastCheck;
+  TimePoint TrustedFrom; // Silence before this may be this process's own.
+  bool Leaving = false;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/transport.h
+++ b/cyclamenwind/peer/transport.h
@@ -23,6 +23,7 @@
 enum class LinkEnd {
   NeverConnected, // No frame sent on it has reached the peer.
   Lost,           // Frames sent on it may have reached the peer.
+  Retired,        // Closed by agreement: all frames sent on it have arrived.
 };
 
 using LinkDownHandler = std::function<void(const Address &Peer, LinkEnd End)>;
--- a/cyclamenwind/traffic/caller_side.cpp
+++ b/cyclamenwind/traffic/caller_side.cpp
@@ -9,12 +9,20 @@
 namespace cyclamenwind {
 namespace {
 
-constexpr int MaxAttempts = 4;
-constexpr int MaxUnknownAttempts = 2;
+// Ids between daemons hold a call's id and the number of the attempt.
+constexpr uint64_t AttemptsPerId = 8;
+static_assert(RetryPolicy::MaxAttempts < static_cast<int>(AttemptsPerId));
+// Leaves room for AttemptsPerId and for the calls of a process.
+constexpr uint64_t IdStartLimit = uint64_t(1) << 58;
 // How long the caller's side waits past the deadline for the other side's word
 // on whether the request was run.
 constexpr Duration ReplyGrace = 50ms;
 
+int64_t attemptId(uint64_t Id, int Attempt) {
+  return static_cast<int64_t>(Id * AttemptsPerId +
+                              static_cast<uint64_t>(Attempt));
+}
+
 CallEnd endOf(wire::CallEnd::type End) {
   switch (End) {
   case wire::CallEnd::ANSWERED:
@@ -94,6 +102,7 @@
   Versions = &Host.find<VersionChooser>("versions");
   Counters = &Host.find<Metrics>("metrics");
   Dice = &Host.random();
+  NextId = 1 + Dice->below(IdStartLimit);
   Balance = std::make_unique<Balancer>(FailureDomain, *Dice);
   Peers->handle(FrameType::CallReply,
                 [this](const Address &From, std::string_view Payload) {
@@ -135,7 +144,6 @@
           findHeader(Request.Headers, IdempotencyKeyHeader))
     Added.Request.idempotencyKey = *Once;
   HttpRequest Taken = Received->takeRequest();
-  Added.Request.id = static_cast<int64_t>(Id);
   Added.Request.serviceName = Route->Service;
   Added.Request.route = Route->Name;
   Added.Request.method = std::move(Taken.Method);
@@ -147,6 +155,7 @@
   Added.Timeout =
       Timers->after(*Deadline + ReplyGrace, [this, Id] { timedOut(Id); });
   Received->onPeerGone([this, Id] { callerLeft(Id); });
+  Retries.firstAttempt();
   attempt(Id);
 }
 
@@ -173,6 +182,8 @@
     return;
   }
   ++Current.Attempts;
+  Current.Delivered = false;
+  Current.Request.id = attemptId(Id, Current.Attempts);
   Current.Tried.insert(Chosen->MemberId);
   Current.MemberId = Chosen->MemberId;
   Current.Peer = Chosen->Peer;
@@ -203,9 +214,10 @@
       decodeMessage<wire::CallReply>(Payload);
   if (!Reply)
     return;
-  uint64_t Id = static_cast<uint64_t>(Reply.value().id);
+  uint64_t Id = static_cast<uint64_t>(Reply.value().id) / AttemptsPerId;
   auto Found = Calls.find(Id);
-  if (Found == Calls.end() || Found->second.Peer != From) {
+  if (Found == Calls.end() || Found->second.Peer != From ||
+      attemptId(Id, Found->second.Attempts) != Reply.value().id) {
     Counters->countLateReply();
     return;
   }
@@ -214,15 +226,23 @@
 
 void CallerSide::linkDown(const Address &Peer, LinkEnd End) {
   std::vector<uint64_t> Affected;
-  for (const auto &[Id, Each] : Calls)
-    if (Each.Peer == Peer)
-      Affected.push_back(Id);
-  wire::CallReply Reply =
-      End == LinkEnd::NeverConnected
-          ? failedReply(CallEnd::Refused, CallReason::DaemonDown)
-          : failedReply(CallEnd::Unknown, CallReason::ConnectionLost);
-  for (uint64_t Id : Affected)
-    attemptEnded(Id, Reply);
+  for (auto &[Id, Each] : Calls) {
+    if (Each.Peer != Peer)
+      continue;
+    Each.Delivered = Each.Delivered || End == LinkEnd::Retired;
+    Affected.push_back(Id);
+  }
+  if (End == LinkEnd::Retired)
+    return;
+  for (uint64_t Id : Affected) {
+    auto Found = Calls.find(Id);
+    if (Found == Calls.end() || Found->second.Peer != Peer)
+      continue;
+    bool NotRun = End == LinkEnd::NeverConnected && !Found->second.Delivered;
+    attemptEnded(
+        Id, NotRun ? failedReply(CallEnd::Refused, CallReason::DaemonDown)
+                   : failedReply(CallEnd::Unknown, CallReason::ConnectionLost));
+  }
 }
 
 void CallerSide::attemptEnded(uint64_t Id, const wire::CallReply &Reply) {
@@ -239,13 +259,14 @@
   Current.LastReason = reasonCalled(Reply.reason);
   if (End == CallEnd::Unknown)
     ++Current.UnknownAttempts;
-  if (mayRetry(Current, End)) {
+  RetryVerdict Verdict = mayRetry(Current, End);
+  if (Verdict == RetryVerdict::Retry) {
     attempt(Id);
     return;
   }
   CallEnd Told =
       Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
-  end(Id, Told, Current.LastReason);
+  end(Id, Told, Current.LastReason, Verdict);
 }
 
 void CallerSide::observe(const Call &Ended, const wire::CallReply &Reply) {
@@ -262,19 +283,18 @@
   Versions->observe(Outcome, Now);
 }
 
-bool CallerSide::mayRetry(const Call &Candidate, CallEnd End) const {
-  if (Candidate.Attempts >= MaxAttempts || Time->now() >= Candidate.Deadline)
-    return false;
-  if (End == CallEnd::Refused)
-    return true;
-  return Candidate.Route->Repeatable &&
-         Candidate.UnknownAttempts < MaxUnknownAttempts;
+RetryVerdict CallerSide::mayRetry(const Call &Candidate, CallEnd End) {
+  RetryState State = {Candidate.Attempts, Candidate.UnknownAttempts,
+                      Candidate.Route->Repeatable, Candidate.Deadline};
+  return Retries.decide(State, End, Time->now());
 }
 
 void CallerSide::timedOut(uint64_t Id) {
   Call &Current = Calls.at(Id);
+  observe(Current, failedReply(CallEnd::Unknown, CallReason::DeadlinePassed));
   cancelAttempt(Id, Current);
-  end(Id, CallEnd::Unknown, CallReason::DeadlinePassed);
+  end(Id, CallEnd::Unknown, CallReason::DeadlinePassed,
+      RetryVerdict::DeadlinePassed);
 }
 
 void CallerSide::callerLeft(uint64_t Id) {
@@ -285,13 +305,13 @@
 
 void CallerSide::cancelAttempt(uint64_t Id, Call &Cancelled) {
   Balance->ended(Cancelled.MemberId);
+  wire::CallCancel Message;
+  Message.id = attemptId(Id, Cancelled.Attempts);
   ++Cancelled.Attempts; // The attempt's own end is ignored from here on.
   if (Cancelled.Peer == Self) {
     LocalSide->cancel(Cancelled.LocalNumber);
     return;
   }
-  wire::CallCancel Message;
-  Message.id = static_cast<int64_t>(Id);
   Peers->sendMessage(Cancelled.Peer, FrameType::CallCancel, Message);
 }
 
@@ -311,13 +331,16 @@
   Ended.Caller->reply(Response);
 }
 
-void CallerSide::end(uint64_t Id, CallEnd End, CallReason Reason) {
+void CallerSide::end(uint64_t Id, CallEnd End, CallReason Reason,
+                     RetryVerdict Verdict) {
   auto Found = Calls.find(Id);
   Call Ended = std::move(Found->second);
   Calls.erase(Found);
   Counters->countCall(Ended.Route->Name, End, Reason);
   HttpResponse Response = failureResponse(End, Reason);
   Response.Headers.push_back({RouteHeader, Ended.Route->Name});
+  if (Verdict != RetryVerdict::Retry)
+    Response.Headers.push_back({NoRetryHeader, std::string(nameOf(Verdict))});
   Ended.Caller->reply(Response);
 }
 
--- a/cyclamenwind/traffic/caller_side.h
+++ b/cyclamenwind/traffic/caller_side.h
@@ -4,7 +4,12 @@
 // version and endpoint, and sends the request to the daemon beside the chosen
 // backend server. A refused attempt is tried elsewhere while time is left, even
 // for requests that may not be repeated, since it was not run. An attempt of
-// unknown end is tried again only if the route is repeatable.
+// unknown end is tried again only if the route is repeatable. Both are subject
+// to the RetryPolicy.
+//
+// Each attempt has an id of its own between daemons, from a random start in
+// each process, so that a reply to an earlier attempt, or to an earlier process
+// at this address, is recognised and dropped.
 
 #ifndef CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
 #define CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
@@ -17,6 +22,7 @@
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/transport.h"
 #include "cyclamenwind/traffic/balancer.h"
+#include "cyclamenwind/traffic/retry.h"
 #include "cyclamenwind/traffic/server_side.h"
 #include "cyclamenwind/traffic/versions.h"
 
@@ -53,6 +59,7 @@
     std::set<std::string> Tried;
     CallReason LastReason = CallReason::NoServer;
     // The attempt under way.
+    bool Delivered = false; // The stream that carried it was retired.
     std::string MemberId;
     Address Peer;
     std::string Version;
@@ -68,12 +75,13 @@
   void linkDown(const Address &Peer, LinkEnd End);
   void attemptEnded(uint64_t Id, const wire::CallReply &Reply);
   void observe(const Call &Ended, const wire::CallReply &Reply);
-  bool mayRetry(const Call &Candidate, CallEnd End) const;
+  RetryVerdict mayRetry(const Call &Candidate, CallEnd End);
   void timedOut(uint64_t Id);
   void callerLeft(uint64_t Id);
   void cancelAttempt(uint64_t Id, Call &Cancelled);
   void answer(uint64_t Id, const wire::CallReply &Reply);
-  void end(uint64_t Id, CallEnd End, CallReason Reason);
+  void end(uint64_t Id, CallEnd End, CallReason Reason,
+           RetryVerdict Verdict = RetryVerdict::Retry);
 
   Address Self;
   std::string FailureDomain;
@@ -88,6 +96,7 @@
   Random *Dice = nullptr;
   std::unique_ptr<Balancer> Balance;
   std::map<uint64_t, Call> Calls;
+  RetryPolicy Retries;
   uint64_t NextId = 1;
   bool ShuttingDown = false;
 };
--- a/cyclamenwind/traffic/ends.h
+++ b/cyclamenwind/traffic/ends.h
@@ -46,6 +46,8 @@
 
 inline constexpr char EndHeader[] = "Cyclamenwind-End";
 inline constexpr char ReasonHeader[] = "Cyclamenwind-Reason";
+// Why a failed call was not tried again: the name of a RetryVerdict.
+inline constexpr char NoRetryHeader[] = "Cyclamenwind-No-Retry";
 inline constexpr char RouteHeader[] = "Cyclamenwind-Route";
 inline constexpr char VersionHeader[] = "Cyclamenwind-Server-Version";
 // Time left for the call, milliseconds; from a caller, and to backend servers.
--- a/cyclamenwind/traffic/server_side.cpp
+++ b/cyclamenwind/traffic/server_side.cpp
@@ -51,6 +51,7 @@
   case HttpClientErrorCode::TimedOut:
     return CallReason::DeadlinePassed;
   case HttpClientErrorCode::ResponseTooLarge:
+  case HttpClientErrorCode::BadResponse:
     return CallReason::BadAnswer;
   default:
     return CallReason::ConnectionLost;
@@ -77,6 +78,8 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveCancel(From, Payload);
                 });
+  Peers->onLinkDown(
+      [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
   ExpiryTimer = Timers->every(QueueCheckPeriod, [this] { expireQueues(); });
 }
 
@@ -90,6 +93,11 @@
   Added.Request = Request;
   Added.Done = std::move(Done);
   Added.Deadline = Now + Duration(Request.remainingUs);
+  if (ShuttingDown || Added.Deadline <= Now) {
+    refuseSoon(Number, ShuttingDown ? CallReason::ShuttingDown
+                                    : CallReason::QueueTimeout);
+    return Number;
+  }
   const BackendServer *Chosen = chooseServer(Request);
   if (Chosen == nullptr) {
     refuseSoon(Number, CallReason::ServerLeft);
@@ -134,6 +142,10 @@
     return;
   }
   int64_t Id = Request.value().id;
+  if (FromPeers.count({From, Id}) != 0) {
+    logWarning("call_repeated", {{"peer", From.text()}, {"id", Id}});
+    return;
+  }
   uint64_t Number =
       submit(Request.value(), [this, From, Id](wire::CallReply Reply) {
         FromPeers.erase({From, Id});
@@ -153,6 +165,21 @@
     cancel(Found->second);
 }
 
+void ServerSide::linkDown(const Address &Peer, LinkEnd End) {
+  if (End != LinkEnd::Lost)
+    return;
+  std::vector<uint64_t> Abandoned;
+  for (auto Each = FromPeers.lower_bound({Peer, INT64_MIN});
+       Each != FromPeers.end() && Each->first.first == Peer; ++Each)
+    Abandoned.push_back(Each->second);
+  for (uint64_t Number : Abandoned) {
+    Call &Each = Calls.at(Number);
+    FromPeers.erase({Peer, Each.Request.id});
+    Each.Done = [](const wire::CallReply &) {};
+    cancel(Number);
+  }
+}
+
 void ServerSide::serversChanged() {
   for (const BackendServer &Each : Local->servers()) {
     int QueueLimit = Each.Slots * Options.QueuePerSlot;
@@ -161,6 +188,29 @@
     if (!Inserted)
       Position->second.Gate.resize(Each.Slots, QueueLimit);
   }
+  std::vector<Address> Leaving;
+  for (const auto &[Listen, Each] : Servers) {
+    const BackendServer *Known = Local->find(Listen);
+    if (Known == nullptr || Known->Draining)
+      Leaving.push_back(Listen);
+  }
+  for (const Address &Listen : Leaving)
+    refuseWaiting(Listen);
+  std::erase_if(Servers, [this](const auto &Entry) {
+    return Local->find(Entry.first) == nullptr &&
+           Entry.second.Gate.running() == 0;
+  });
+}
+
+// Refuses the calls that wait for a server which takes no more.
+void ServerSide::refuseWaiting(const Address &Listen) {
+  std::vector<uint64_t> Waiting;
+  for (const auto &[Number, Each] : Calls)
+    if (Each.Target == Listen && !Each.Admitted &&
+        Servers.at(Listen).Gate.withdraw(Number))
+      Waiting.push_back(Number);
+  for (uint64_t Number : Waiting)
+    refuse(Number, CallReason::ServerLeft);
 }
 
 const BackendServer *
@@ -241,8 +291,9 @@
     Reply.inFlight = Server->second.Gate.running();
     Reply.queued = Server->second.Gate.queued();
   }
-  Ended.Done(std::move(Reply));
+  // Before Done, which may submit or cancel other calls.
   perform(Actions);
+  Ended.Done(std::move(Reply));
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/traffic/server_side.h
+++ b/cyclamenwind/traffic/server_side.h
@@ -4,6 +4,10 @@
 // themselves to it. It admits each call by slots and queue, and refuses before
 // the first byte goes out, so that a refusal is true and safe to retry. After
 // the first byte, any end but a whole response is unknown.
+//
+// When a backend server drains or leaves, the calls that wait for it are
+// refused at once. When the stream to the daemon that sent a call is lost, the
+// call is cancelled, since nobody waits for it.
 
 #ifndef CYCLAMENWIND_TRAFFIC_SERVER_SIDE_H
 #define CYCLAMENWIND_TRAFFIC_SERVER_SIDE_H
@@ -38,6 +42,9 @@
   // Gives up a submitted call; Done is called with what is known of it.
   void cancel(uint64_t Number);
 
+  // Refuses calls submitted from now on; those under way go on.
+  void refuseNew() { ShuttingDown = true; }
+
   // Calls that have been submitted and not yet ended.
   size_t active() const { return Calls.size(); }
 
@@ -56,7 +63,9 @@
 
   void receiveRequest(const Address &From, std::string_view Payload);
   void receiveCancel(const Address &From, std::string_view Payload);
+  void linkDown(const Address &Peer, LinkEnd End);
   void serversChanged();
+  void refuseWaiting(const Address &Listen);
   const BackendServer *chooseServer(const wire::CallRequest &Request) const;
   void run(uint64_t Number);
   void completed(uint64_t Number,
@@ -78,6 +87,7 @@
   // Calls received from peers, by peer and the peer's own call id.
   std::map<std::pair<Address, int64_t>, uint64_t> FromPeers;
   uint64_t NextNumber = 1;
+  bool ShuttingDown = false;
   TimerHandle ExpiryTimer;
 };
 
--- a/cyclamenwind/wire/gen-cpp/peer_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/peer_types.cpp
@@ -25,6 +25,10 @@
 void Hello::__set_peerAddress(const std::string& val) {
   this->peerAddress = val;
 }
+
+void Hello::__set_instance(const int64_t val) {
+  this->instance = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -69,6 +73,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -94,6 +106,10 @@
   xfer += oprot->writeString(this->peerAddress);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->instance);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -103,28 +119,33 @@
   using ::std::swap;
   swap(a.protocol, b.protocol);
   swap(a.peerAddress, b.peerAddress);
+  swap(a.instance, b.instance);
   swap(a.__isset, b.__isset);
 }
 
 Hello::Hello(const Hello& other0) {
   protocol = other0.protocol;
   peerAddress = other0.peerAddress;
+  instance = other0.instance;
   __isset = other0.__isset;
 }
 Hello::Hello(Hello&& other1) noexcept {
   protocol = other1.protocol;
   peerAddress = std::move(other1.peerAddress);
+  instance = other1.instance;
   __isset = other1.__isset;
 }
 Hello& Hello::operator=(const Hello& other2) {
   protocol = other2.protocol;
   peerAddress = other2.peerAddress;
+  instance = other2.instance;
   __isset = other2.__isset;
   return *this;
 }
 Hello& Hello::operator=(Hello&& other3) noexcept {
   protocol = other3.protocol;
   peerAddress = std::move(other3.peerAddress);
+  instance = other3.instance;
   __isset = other3.__isset;
   return *this;
 }
@@ -133,6 +154,108 @@
   out << "Hello(";
   out << "protocol=" << to_string(protocol);
   out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ", " << "instance=" << to_string(instance);
+  out << ")";
+}
+
+
+Goodbye::~Goodbye() noexcept {
+}
+
+
+void Goodbye::__set_reply(const bool val) {
+  this->reply = val;
+}
+std::ostream& operator<<(std::ostream& out, const Goodbye& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Goodbye::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reply);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Goodbye::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Goodbye");
+
+  xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->reply);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Goodbye &a, Goodbye &b) {
+  using ::std::swap;
+  swap(a.reply, b.reply);
+  swap(a.__isset, b.__isset);
+}
+
+Goodbye::Goodbye(const Goodbye& other4) noexcept {
+  reply = other4.reply;
+  __isset = other4.__isset;
+}
+Goodbye::Goodbye(Goodbye&& other5) noexcept {
+  reply = other5.reply;
+  __isset = other5.__isset;
+}
+Goodbye& Goodbye::operator=(const Goodbye& other6) noexcept {
+  reply = other6.reply;
+  __isset = other6.__isset;
+  return *this;
+}
+Goodbye& Goodbye::operator=(Goodbye&& other7) noexcept {
+  reply = other7.reply;
+  __isset = other7.__isset;
+  return *this;
+}
+void Goodbye::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Goodbye(";
+  out << "reply=" << to_string(reply);
   out << ")";
 }
 
@@ -229,26 +352,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other4) noexcept {
-  sequence = other4.sequence;
-  reply = other4.reply;
-  __isset = other4.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other8) noexcept {
+  sequence = other8.sequence;
+  reply = other8.reply;
+  __isset = other8.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other5) noexcept {
-  sequence = other5.sequence;
-  reply = other5.reply;
-  __isset = other5.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other9) noexcept {
+  sequence = other9.sequence;
+  reply = other9.reply;
+  __isset = other9.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other6) noexcept {
-  sequence = other6.sequence;
-  reply = other6.reply;
-  __isset = other6.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other10) noexcept {
+  sequence = other10.sequence;
+  reply = other10.reply;
+  __isset = other10.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other7) noexcept {
-  sequence = other7.sequence;
-  reply = other7.reply;
-  __isset = other7.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other11) noexcept {
+  sequence = other11.sequence;
+  reply = other11.reply;
+  __isset = other11.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/cyclamenwind/wire/gen-cpp/peer_types.h
+++ b/cyclamenwind/wire/gen-cpp/peer_types.h
@@ -23,12 +23,15 @@
 
 class Hello;
 
+class Goodbye;
+
 class Heartbeat;
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocol(false), peerAddress(false) {}
+  _Hello__isset() : protocol(false), peerAddress(false), instance(false) {}
   bool protocol :1;
   bool peerAddress :1;
+  bool instance :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
@@ -40,12 +43,14 @@
   Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : protocol(0),
-          peerAddress() {
+          peerAddress(),
+          instance(0) {
   }
 
   virtual ~Hello() noexcept;
   int32_t protocol;
   std::string peerAddress;
+  int64_t instance;
 
   _Hello__isset __isset;
 
@@ -53,12 +58,16 @@
 
   void __set_peerAddress(const std::string& val);
 
+  void __set_instance(const int64_t val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocol == rhs.protocol))
       return false;
     if (!(peerAddress == rhs.peerAddress))
       return false;
+    if (!(instance == rhs.instance))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -77,6 +86,51 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+typedef struct _Goodbye__isset {
+  _Goodbye__isset() : reply(false) {}
+  bool reply :1;
+} _Goodbye__isset;
+
+class Goodbye : public virtual ::apache::thrift::TBase {
+ public:
+
+  Goodbye(const Goodbye&) noexcept;
+  Goodbye(Goodbye&&) noexcept;
+  Goodbye& operator=(const Goodbye&) noexcept;
+  Goodbye& operator=(Goodbye&&) noexcept;
+  Goodbye() noexcept
+          : reply(0) {
+  }
+
+  virtual ~Goodbye() noexcept;
+  bool reply;
+
+  _Goodbye__isset __isset;
+
+  void __set_reply(const bool val);
+
+  bool operator == (const Goodbye & rhs) const
+  {
+    if (!(reply == rhs.reply))
+      return false;
+    return true;
+  }
+  bool operator != (const Goodbye &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Goodbye & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Goodbye &a, Goodbye &b);
+
+std::ostream& operator<<(std::ostream& out, const Goodbye& obj);
+
 typedef struct _Heartbeat__isset {
   _Heartbeat__isset() : sequence(false), reply(false) {}
   bool sequence :1;
