--- a/testing/fake_peers.cpp
+++ b/testing/fake_peers.cpp
@@ -101,6 +101,8 @@
 void FakePeers::send(const Address &To, FrameType Type,
                      std::string_view Payload) {
   count(Type, Payload.size());
+  if (Network.OnStream)
+    Network.OnStream(Self, To, Type, std::string(Payload));
   Network.post({Self, To, Type, std::string(Payload)}, /*Datagram=*/false);
 }
 
--- a/testing/fake_peers.h
+++ b/testing/fake_peers.h
@@ -35,6 +35,17 @@
 
   bool connected(const Address &A, const Address &B) const;
 
+  // Sees each frame that is sent on a stream.
+  std::function<void(const Address &From, const Address &To, FrameType Type,
+                     const std::string &Payload)>
+      OnStream;
+
+  // Delivers a frame that From did not send now.
+  void inject(const Address &From, const Address &To, FrameType Type,
+              const std::string &Payload) {
+    post({From, To, Type, Payload}, /*Datagram=*/true);
+  }
+
 private:
   friend class FakePeers;
 
