--- a/cyclamenwind/peer/link.cpp
+++ b/cyclamenwind/peer/link.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 Link::Link(Loop &TheLoop, LinkOwner &Owner, const Address &To)
-    : Peer(To), TheLoop(TheLoop), Owner(Owner) {
+    : Peer(To), TheLoop(TheLoop), Owner(Owner), Outgoing(true) {
   open(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   beginConnecting(To);
 }
