--- /dev/null
+++ b/cyclamenwind/config/platform_feed.cpp
@@ -0,0 +1,79 @@
+#include "cyclamenwind/config/platform_feed.h"
+
+#include "cyclamenwind/base/backoff.h"
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/config/keys.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration WatchTime = 2s;
+constexpr Duration RetryBase = 100ms;
+constexpr Duration RetryLimit = 1s;
+
+} // namespace
+
+void PlatformFeed::start() {
+  if (running())
+    return;
+  Running = std::make_shared<bool>(true);
+  Failures = 0;
+  readDocument();
+}
+
+void PlatformFeed::stop() {
+  Retry.reset();
+  if (Running)
+    *Running = false;
+}
+
+void PlatformFeed::readDocument() {
+  Platform.list(
+      DocumentKey,
+      [this, Alive = Running](Result<PlatformListing, PlatformError> Listing) {
+        if (!*Alive)
+          return;
+        if (!Listing) {
+          retryLater(Listing.error());
+          return;
+        }
+        Failures = 0;
+        for (const PlatformObject &Each : Listing.value().Objects)
+          if (Each.Key == DocumentKey)
+            Deliver(Each.Value);
+        if (Synchronised)
+          Synchronised();
+        watchFrom(Listing.value().Revision);
+      });
+}
+
+void PlatformFeed::watchFrom(uint64_t Revision) {
+  Platform.watch(
+      DocumentKey, Revision, WatchTime,
+      [this, Alive = Running](Result<WatchBatch, PlatformError> Batch) {
+        if (!*Alive)
+          return;
+        if (!Batch) {
+          retryLater(Batch.error());
+          return;
+        }
+        applyChanges(Batch.value());
+        watchFrom(Batch.value().Revision);
+      });
+}
+
+void PlatformFeed::applyChanges(const WatchBatch &Batch) {
+  for (const PlatformChange &Each : Batch.Changes)
+    if (!Each.Removed && Each.Object.Key == DocumentKey)
+      Deliver(Each.Object.Value);
+}
+
+void PlatformFeed::retryLater(PlatformError Error) {
+  ++Failures;
+  logWarning("config_source_unavailable",
+             {{"cause", nameOf(Error)}, {"failures", Failures}});
+  Retry = Timers.after(backoffDelay(Failures, RetryBase, RetryLimit, Dice),
+                       [this] { readDocument(); });
+}
+
+} // namespace cyclamenwind
--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -2,8 +2,8 @@
 
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/config/acceptance.h"
+#include "cyclamenwind/config/distribution.h"
 #include "cyclamenwind/config/store.h"
-#include "cyclamenwind/config/watcher.h"
 #include "cyclamenwind/membership/membership.h"
 #include "cyclamenwind/operators/api.h"
 #include "cyclamenwind/operators/metrics.h"
@@ -58,7 +58,7 @@
       TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform, Dice));
   Services.add(std::make_unique<Metrics>());
   Services.add(std::make_unique<ConfigStore>());
-  Services.add(std::make_unique<PlatformWatcher>());
+  Services.add(std::make_unique<Distribution>(TheSettings));
   Services.add(std::make_unique<Acceptance>());
   Services.add(std::make_unique<Announcements>(
       TheSettings.Membership.AnnouncementLifetime));
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -32,9 +32,11 @@
   Gossip = 20,
   RosterSync = 21,
   // Configuration.
-  ConfigState = 30,
-  ConfigPull = 31,
-  ConfigSnapshot = 32,
+  ConfigSubscribe = 30,
+  ConfigState = 31,
+  ConfigDelta = 32,
+  ConfigSnapshot = 33,
+  ConfigStanding = 34,
 };
 
 // A body of the largest size with its headers.
--- a/cyclamenwind/platform/budget.cpp
+++ b/cyclamenwind/platform/budget.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration RetryBase = 20ms;
-constexpr Duration RetryLimit = 2s;
+constexpr Duration RetryLimit = 1s;
 // Calls that may wait at each priority.
 constexpr size_t MaxWaiting = 256;
 
--- a/cyclamenwind/wire/gen-cpp/config_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/config_types.cpp
@@ -14,25 +14,53 @@
 namespace cyclamenwind { namespace wire {
 
 
-ConfigState::~ConfigState() noexcept {
+ConfigSubscribe::~ConfigSubscribe() noexcept {
 }
 
 
-void ConfigState::__set_version(const int64_t val) {
+void ConfigSubscribe::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void ConfigSubscribe::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void ConfigSubscribe::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void ConfigState::__set_digest(const int64_t val) {
+void ConfigSubscribe::__set_digest(const int64_t val) {
   this->digest = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigState& obj)
+
+void ConfigSubscribe::__set_primary(const bool val) {
+  this->primary = val;
+}
+
+void ConfigSubscribe::__set_fresh(const bool val) {
+  this->fresh = val;
+}
+
+void ConfigSubscribe::__set_rejected(const int64_t val) {
+  this->rejected = val;
+}
+
+void ConfigSubscribe::__set_directory(const int64_t val) {
+  this->directory = val;
+}
+
+void ConfigSubscribe::__set_process(const int64_t val) {
+  this->process = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigSubscribe& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigSubscribe::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -54,6 +82,22 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->version);
           this->__isset.version = true;
@@ -61,7 +105,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->digest);
           this->__isset.digest = true;
@@ -69,6 +113,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->primary);
+          this->__isset.primary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fresh);
+          this->__isset.fresh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rejected);
+          this->__isset.rejected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->directory);
+          this->__isset.directory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -81,77 +165,151 @@
   return xfer;
 }
 
-uint32_t ConfigState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigSubscribe::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigState");
+  xfer += oprot->writeStructBegin("ConfigSubscribe");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("primary", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->primary);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fresh", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->fresh);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rejected", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->rejected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("directory", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->directory);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ConfigState &a, ConfigState &b) {
+void swap(ConfigSubscribe &a, ConfigSubscribe &b) {
   using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.domain, b.domain);
   swap(a.version, b.version);
   swap(a.digest, b.digest);
+  swap(a.primary, b.primary);
+  swap(a.fresh, b.fresh);
+  swap(a.rejected, b.rejected);
+  swap(a.directory, b.directory);
+  swap(a.process, b.process);
   swap(a.__isset, b.__isset);
 }
 
-ConfigState::ConfigState(const ConfigState& other0) noexcept {
+ConfigSubscribe::ConfigSubscribe(const ConfigSubscribe& other0) {
+  member = other0.member;
+  domain = other0.domain;
   version = other0.version;
   digest = other0.digest;
+  primary = other0.primary;
+  fresh = other0.fresh;
+  rejected = other0.rejected;
+  directory = other0.directory;
+  process = other0.process;
   __isset = other0.__isset;
 }
-ConfigState::ConfigState(ConfigState&& other1) noexcept {
+ConfigSubscribe::ConfigSubscribe(ConfigSubscribe&& other1) noexcept {
+  member = std::move(other1.member);
+  domain = std::move(other1.domain);
   version = other1.version;
   digest = other1.digest;
+  primary = other1.primary;
+  fresh = other1.fresh;
+  rejected = other1.rejected;
+  directory = other1.directory;
+  process = other1.process;
   __isset = other1.__isset;
 }
-ConfigState& ConfigState::operator=(const ConfigState& other2) noexcept {
+ConfigSubscribe& ConfigSubscribe::operator=(const ConfigSubscribe& other2) {
+  member = other2.member;
+  domain = other2.domain;
   version = other2.version;
   digest = other2.digest;
+  primary = other2.primary;
+  fresh = other2.fresh;
+  rejected = other2.rejected;
+  directory = other2.directory;
+  process = other2.process;
   __isset = other2.__isset;
   return *this;
 }
-ConfigState& ConfigState::operator=(ConfigState&& other3) noexcept {
+ConfigSubscribe& ConfigSubscribe::operator=(ConfigSubscribe&& other3) noexcept {
+  member = std::move(other3.member);
+  domain = std::move(other3.domain);
   version = other3.version;
   digest = other3.digest;
+  primary = other3.primary;
+  fresh = other3.fresh;
+  rejected = other3.rejected;
+  directory = other3.directory;
+  process = other3.process;
   __isset = other3.__isset;
   return *this;
 }
-void ConfigState::printTo(std::ostream& out) const {
+void ConfigSubscribe::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigState(";
-  out << "version=" << to_string(version);
+  out << "ConfigSubscribe(";
+  out << "member=" << to_string(member);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "version=" << to_string(version);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "primary=" << to_string(primary);
+  out << ", " << "fresh=" << to_string(fresh);
+  out << ", " << "rejected=" << to_string(rejected);
+  out << ", " << "directory=" << to_string(directory);
+  out << ", " << "process=" << to_string(process);
   out << ")";
 }
 
 
-ConfigPull::~ConfigPull() noexcept {
+RelayEntry::~RelayEntry() noexcept {
 }
 
 
-void ConfigPull::__set_version(const int64_t val) {
-  this->version = val;
+void RelayEntry::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void RelayEntry::__set_peerAddress(const std::string& val) {
+  this->peerAddress = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPull& obj)
+std::ostream& operator<<(std::ostream& out, const RelayEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPull::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -173,9 +331,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peerAddress);
+          this->__isset.peerAddress = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -192,13 +358,17 @@
   return xfer;
 }
 
-uint32_t ConfigPull::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPull");
+  xfer += oprot->writeStructBegin("RelayEntry");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->peerAddress);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -206,61 +376,71 @@
   return xfer;
 }
 
-void swap(ConfigPull &a, ConfigPull &b) {
+void swap(RelayEntry &a, RelayEntry &b) {
   using ::std::swap;
-  swap(a.version, b.version);
+  swap(a.domain, b.domain);
+  swap(a.peerAddress, b.peerAddress);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPull::ConfigPull(const ConfigPull& other4) noexcept {
-  version = other4.version;
+RelayEntry::RelayEntry(const RelayEntry& other4) {
+  domain = other4.domain;
+  peerAddress = other4.peerAddress;
   __isset = other4.__isset;
 }
-ConfigPull::ConfigPull(ConfigPull&& other5) noexcept {
-  version = other5.version;
+RelayEntry::RelayEntry(RelayEntry&& other5) noexcept {
+  domain = std::move(other5.domain);
+  peerAddress = std::move(other5.peerAddress);
   __isset = other5.__isset;
 }
-ConfigPull& ConfigPull::operator=(const ConfigPull& other6) noexcept {
-  version = other6.version;
+RelayEntry& RelayEntry::operator=(const RelayEntry& other6) {
+  domain = other6.domain;
+  peerAddress = other6.peerAddress;
   __isset = other6.__isset;
   return *this;
 }
-ConfigPull& ConfigPull::operator=(ConfigPull&& other7) noexcept {
-  version = other7.version;
+RelayEntry& RelayEntry::operator=(RelayEntry&& other7) noexcept {
+  domain = std::move(other7.domain);
+  peerAddress = std::move(other7.peerAddress);
   __isset = other7.__isset;
   return *this;
 }
-void ConfigPull::printTo(std::ostream& out) const {
+void RelayEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigPull(";
-  out << "version=" << to_string(version);
+  out << "RelayEntry(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "peerAddress=" << to_string(peerAddress);
   out << ")";
 }
 
 
-ConfigSnapshot::~ConfigSnapshot() noexcept {
+Laggard::~Laggard() noexcept {
 }
 
 
-void ConfigSnapshot::__set_version(const int64_t val) {
+void Laggard::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void Laggard::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void ConfigSnapshot::__set_digest(const int64_t val) {
-  this->digest = val;
+void Laggard::__set_lagMs(const int64_t val) {
+  this->lagMs = val;
 }
 
-void ConfigSnapshot::__set_envelope(const std::string& val) {
-  this->envelope = val;
+void Laggard::__set_rejected(const int64_t val) {
+  this->rejected = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigSnapshot& obj)
+std::ostream& operator<<(std::ostream& out, const Laggard& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Laggard::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -282,6 +462,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->version);
           this->__isset.version = true;
@@ -289,18 +477,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->digest);
-          this->__isset.digest = true;
+          xfer += iprot->readI64(this->lagMs);
+          this->__isset.lagMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->envelope);
-          this->__isset.envelope = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rejected);
+          this->__isset.rejected = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -317,21 +505,25 @@
   return xfer;
 }
 
-uint32_t ConfigSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Laggard::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigSnapshot");
+  xfer += oprot->writeStructBegin("Laggard");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldBegin("lagMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lagMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("envelope", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->envelope);
+  xfer += oprot->writeFieldBegin("rejected", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->rejected);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -339,46 +531,1457 @@
   return xfer;
 }
 
-void swap(ConfigSnapshot &a, ConfigSnapshot &b) {
+void swap(Laggard &a, Laggard &b) {
   using ::std::swap;
+  swap(a.member, b.member);
   swap(a.version, b.version);
-  swap(a.digest, b.digest);
-  swap(a.envelope, b.envelope);
+  swap(a.lagMs, b.lagMs);
+  swap(a.rejected, b.rejected);
   swap(a.__isset, b.__isset);
 }
 
-ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other8) {
+Laggard::Laggard(const Laggard& other8) {
+  member = other8.member;
   version = other8.version;
-  digest = other8.digest;
-  envelope = other8.envelope;
+  lagMs = other8.lagMs;
+  rejected = other8.rejected;
   __isset = other8.__isset;
 }
-ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other9) noexcept {
+Laggard::Laggard(Laggard&& other9) noexcept {
+  member = std::move(other9.member);
   version = other9.version;
-  digest = other9.digest;
-  envelope = std::move(other9.envelope);
+  lagMs = other9.lagMs;
+  rejected = other9.rejected;
   __isset = other9.__isset;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other10) {
+Laggard& Laggard::operator=(const Laggard& other10) {
+  member = other10.member;
   version = other10.version;
-  digest = other10.digest;
-  envelope = other10.envelope;
+  lagMs = other10.lagMs;
+  rejected = other10.rejected;
   __isset = other10.__isset;
   return *this;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other11) noexcept {
+Laggard& Laggard::operator=(Laggard&& other11) noexcept {
+  member = std::move(other11.member);
   version = other11.version;
-  digest = other11.digest;
-  envelope = std::move(other11.envelope);
+  lagMs = other11.lagMs;
+  rejected = other11.rejected;
   __isset = other11.__isset;
   return *this;
 }
+void Laggard::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Laggard(";
+  out << "member=" << to_string(member);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "lagMs=" << to_string(lagMs);
+  out << ", " << "rejected=" << to_string(rejected);
+  out << ")";
+}
+
+
+DomainStanding::~DomainStanding() noexcept {
+}
+
+
+void DomainStanding::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void DomainStanding::__set_counts(const std::map<int64_t, int32_t> & val) {
+  this->counts = val;
+}
+
+void DomainStanding::__set_unknown(const int32_t val) {
+  this->unknown = val;
+}
+
+void DomainStanding::__set_rejecting(const int32_t val) {
+  this->rejecting = val;
+}
+
+void DomainStanding::__set_laggards(const std::vector<Laggard> & val) {
+  this->laggards = val;
+}
+
+void DomainStanding::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainStanding& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DomainStanding::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->counts.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _ktype13;
+            ::apache::thrift::protocol::TType _vtype14;
+            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              int64_t _key17;
+              xfer += iprot->readI64(_key17);
+              int32_t& _val18 = this->counts[_key17];
+              xfer += iprot->readI32(_val18);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unknown);
+          this->__isset.unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rejecting);
+          this->__isset.rejecting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->laggards.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->laggards.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->laggards[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.laggards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DomainStanding::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainStanding");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::map<int64_t, int32_t> ::const_iterator _iter24;
+    for (_iter24 = this->counts.begin(); _iter24 != this->counts.end(); ++_iter24)
+    {
+      xfer += oprot->writeI64(_iter24->first);
+      xfer += oprot->writeI32(_iter24->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->unknown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rejecting", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->rejecting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("laggards", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->laggards.size()));
+    std::vector<Laggard> ::const_iterator _iter25;
+    for (_iter25 = this->laggards.begin(); _iter25 != this->laggards.end(); ++_iter25)
+    {
+      xfer += (*_iter25).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainStanding &a, DomainStanding &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.counts, b.counts);
+  swap(a.unknown, b.unknown);
+  swap(a.rejecting, b.rejecting);
+  swap(a.laggards, b.laggards);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+DomainStanding::DomainStanding(const DomainStanding& other26) {
+  domain = other26.domain;
+  counts = other26.counts;
+  unknown = other26.unknown;
+  rejecting = other26.rejecting;
+  laggards = other26.laggards;
+  ageMs = other26.ageMs;
+  __isset = other26.__isset;
+}
+DomainStanding::DomainStanding(DomainStanding&& other27) noexcept {
+  domain = std::move(other27.domain);
+  counts = std::move(other27.counts);
+  unknown = other27.unknown;
+  rejecting = other27.rejecting;
+  laggards = std::move(other27.laggards);
+  ageMs = other27.ageMs;
+  __isset = other27.__isset;
+}
+DomainStanding& DomainStanding::operator=(const DomainStanding& other28) {
+  domain = other28.domain;
+  counts = other28.counts;
+  unknown = other28.unknown;
+  rejecting = other28.rejecting;
+  laggards = other28.laggards;
+  ageMs = other28.ageMs;
+  __isset = other28.__isset;
+  return *this;
+}
+DomainStanding& DomainStanding::operator=(DomainStanding&& other29) noexcept {
+  domain = std::move(other29.domain);
+  counts = std::move(other29.counts);
+  unknown = other29.unknown;
+  rejecting = other29.rejecting;
+  laggards = std::move(other29.laggards);
+  ageMs = other29.ageMs;
+  __isset = other29.__isset;
+  return *this;
+}
+void DomainStanding::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainStanding(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "counts=" << to_string(counts);
+  out << ", " << "unknown=" << to_string(unknown);
+  out << ", " << "rejecting=" << to_string(rejecting);
+  out << ", " << "laggards=" << to_string(laggards);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
+ConfigState::~ConfigState() noexcept {
+}
+
+
+void ConfigState::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigState::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ConfigState::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void ConfigState::__set_relay(const bool val) {
+  this->relay = val;
+}
+
+void ConfigState::__set_confirmed(const bool val) {
+  this->confirmed = val;
+}
+
+void ConfigState::__set_platformAway(const bool val) {
+  this->platformAway = val;
+}
+
+void ConfigState::__set_relays(const std::vector<RelayEntry> & val) {
+  this->relays = val;
+__isset.relays = true;
+}
+
+void ConfigState::__set_standing(const std::vector<DomainStanding> & val) {
+  this->standing = val;
+}
+
+void ConfigState::__set_contendSlot(const int32_t val) {
+  this->contendSlot = val;
+}
+
+void ConfigState::__set_process(const int64_t val) {
+  this->process = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->platformAway);
+          this->__isset.platformAway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relays.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->relays.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->relays[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->standing.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->standing.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->standing[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.standing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->contendSlot);
+          this->__isset.contendSlot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigState");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("platformAway", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->platformAway);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.relays) {
+    xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
+      std::vector<RelayEntry> ::const_iterator _iter40;
+      for (_iter40 = this->relays.begin(); _iter40 != this->relays.end(); ++_iter40)
+      {
+        xfer += (*_iter40).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("standing", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->standing.size()));
+    std::vector<DomainStanding> ::const_iterator _iter41;
+    for (_iter41 = this->standing.begin(); _iter41 != this->standing.end(); ++_iter41)
+    {
+      xfer += (*_iter41).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contendSlot", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->contendSlot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigState &a, ConfigState &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.domain, b.domain);
+  swap(a.relay, b.relay);
+  swap(a.confirmed, b.confirmed);
+  swap(a.platformAway, b.platformAway);
+  swap(a.relays, b.relays);
+  swap(a.standing, b.standing);
+  swap(a.contendSlot, b.contendSlot);
+  swap(a.process, b.process);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigState::ConfigState(const ConfigState& other42) {
+  version = other42.version;
+  digest = other42.digest;
+  domain = other42.domain;
+  relay = other42.relay;
+  confirmed = other42.confirmed;
+  platformAway = other42.platformAway;
+  relays = other42.relays;
+  standing = other42.standing;
+  contendSlot = other42.contendSlot;
+  process = other42.process;
+  __isset = other42.__isset;
+}
+ConfigState::ConfigState(ConfigState&& other43) noexcept {
+  version = other43.version;
+  digest = other43.digest;
+  domain = std::move(other43.domain);
+  relay = other43.relay;
+  confirmed = other43.confirmed;
+  platformAway = other43.platformAway;
+  relays = std::move(other43.relays);
+  standing = std::move(other43.standing);
+  contendSlot = other43.contendSlot;
+  process = other43.process;
+  __isset = other43.__isset;
+}
+ConfigState& ConfigState::operator=(const ConfigState& other44) {
+  version = other44.version;
+  digest = other44.digest;
+  domain = other44.domain;
+  relay = other44.relay;
+  confirmed = other44.confirmed;
+  platformAway = other44.platformAway;
+  relays = other44.relays;
+  standing = other44.standing;
+  contendSlot = other44.contendSlot;
+  process = other44.process;
+  __isset = other44.__isset;
+  return *this;
+}
+ConfigState& ConfigState::operator=(ConfigState&& other45) noexcept {
+  version = other45.version;
+  digest = other45.digest;
+  domain = std::move(other45.domain);
+  relay = other45.relay;
+  confirmed = other45.confirmed;
+  platformAway = other45.platformAway;
+  relays = std::move(other45.relays);
+  standing = std::move(other45.standing);
+  contendSlot = other45.contendSlot;
+  process = other45.process;
+  __isset = other45.__isset;
+  return *this;
+}
+void ConfigState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigState(";
+  out << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "relay=" << to_string(relay);
+  out << ", " << "confirmed=" << to_string(confirmed);
+  out << ", " << "platformAway=" << to_string(platformAway);
+  out << ", " << "relays="; (__isset.relays ? (out << to_string(relays)) : (out << "<null>"));
+  out << ", " << "standing=" << to_string(standing);
+  out << ", " << "contendSlot=" << to_string(contendSlot);
+  out << ", " << "process=" << to_string(process);
+  out << ")";
+}
+
+
+ConfigStanding::~ConfigStanding() noexcept {
+}
+
+
+void ConfigStanding::__set_sum(const DomainStanding& val) {
+  this->sum = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigStanding& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigStanding::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sum.read(iprot);
+          this->__isset.sum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigStanding::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigStanding");
+
+  xfer += oprot->writeFieldBegin("sum", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sum.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigStanding &a, ConfigStanding &b) {
+  using ::std::swap;
+  swap(a.sum, b.sum);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigStanding::ConfigStanding(const ConfigStanding& other46) {
+  sum = other46.sum;
+  __isset = other46.__isset;
+}
+ConfigStanding::ConfigStanding(ConfigStanding&& other47) noexcept {
+  sum = std::move(other47.sum);
+  __isset = other47.__isset;
+}
+ConfigStanding& ConfigStanding::operator=(const ConfigStanding& other48) {
+  sum = other48.sum;
+  __isset = other48.__isset;
+  return *this;
+}
+ConfigStanding& ConfigStanding::operator=(ConfigStanding&& other49) noexcept {
+  sum = std::move(other49.sum);
+  __isset = other49.__isset;
+  return *this;
+}
+void ConfigStanding::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigStanding(";
+  out << "sum=" << to_string(sum);
+  out << ")";
+}
+
+
+ResourceChange::~ResourceChange() noexcept {
+}
+
+
+void ResourceChange::__set_arrayName(const std::string& val) {
+  this->arrayName = val;
+}
+
+void ResourceChange::__set_position(const int32_t val) {
+  this->position = val;
+}
+
+void ResourceChange::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ResourceChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ResourceChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->arrayName);
+          this->__isset.arrayName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->position);
+          this->__isset.position = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ResourceChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ResourceChange");
+
+  xfer += oprot->writeFieldBegin("arrayName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->arrayName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->position);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ResourceChange &a, ResourceChange &b) {
+  using ::std::swap;
+  swap(a.arrayName, b.arrayName);
+  swap(a.position, b.position);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+ResourceChange::ResourceChange(const ResourceChange& other50) {
+  arrayName = other50.arrayName;
+  position = other50.position;
+  body = other50.body;
+  __isset = other50.__isset;
+}
+ResourceChange::ResourceChange(ResourceChange&& other51) noexcept {
+  arrayName = std::move(other51.arrayName);
+  position = other51.position;
+  body = std::move(other51.body);
+  __isset = other51.__isset;
+}
+ResourceChange& ResourceChange::operator=(const ResourceChange& other52) {
+  arrayName = other52.arrayName;
+  position = other52.position;
+  body = other52.body;
+  __isset = other52.__isset;
+  return *this;
+}
+ResourceChange& ResourceChange::operator=(ResourceChange&& other53) noexcept {
+  arrayName = std::move(other53.arrayName);
+  position = other53.position;
+  body = std::move(other53.body);
+  __isset = other53.__isset;
+  return *this;
+}
+void ResourceChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ResourceChange(";
+  out << "arrayName=" << to_string(arrayName);
+  out << ", " << "position=" << to_string(position);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ResourceName::~ResourceName() noexcept {
+}
+
+
+void ResourceName::__set_arrayName(const std::string& val) {
+  this->arrayName = val;
+}
+
+void ResourceName::__set_name(const std::string& val) {
+  this->name = val;
+}
+std::ostream& operator<<(std::ostream& out, const ResourceName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ResourceName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->arrayName);
+          this->__isset.arrayName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ResourceName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ResourceName");
+
+  xfer += oprot->writeFieldBegin("arrayName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->arrayName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ResourceName &a, ResourceName &b) {
+  using ::std::swap;
+  swap(a.arrayName, b.arrayName);
+  swap(a.name, b.name);
+  swap(a.__isset, b.__isset);
+}
+
+ResourceName::ResourceName(const ResourceName& other54) {
+  arrayName = other54.arrayName;
+  name = other54.name;
+  __isset = other54.__isset;
+}
+ResourceName::ResourceName(ResourceName&& other55) noexcept {
+  arrayName = std::move(other55.arrayName);
+  name = std::move(other55.name);
+  __isset = other55.__isset;
+}
+ResourceName& ResourceName::operator=(const ResourceName& other56) {
+  arrayName = other56.arrayName;
+  name = other56.name;
+  __isset = other56.__isset;
+  return *this;
+}
+ResourceName& ResourceName::operator=(ResourceName&& other57) noexcept {
+  arrayName = std::move(other57.arrayName);
+  name = std::move(other57.name);
+  __isset = other57.__isset;
+  return *this;
+}
+void ResourceName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ResourceName(";
+  out << "arrayName=" << to_string(arrayName);
+  out << ", " << "name=" << to_string(name);
+  out << ")";
+}
+
+
+ConfigDelta::~ConfigDelta() noexcept {
+}
+
+
+void ConfigDelta::__set_fromVersion(const int64_t val) {
+  this->fromVersion = val;
+}
+
+void ConfigDelta::__set_fromDigest(const int64_t val) {
+  this->fromDigest = val;
+}
+
+void ConfigDelta::__set_toVersion(const int64_t val) {
+  this->toVersion = val;
+}
+
+void ConfigDelta::__set_toDigest(const int64_t val) {
+  this->toDigest = val;
+}
+
+void ConfigDelta::__set_header(const std::string& val) {
+  this->header = val;
+}
+
+void ConfigDelta::__set_changed(const std::vector<ResourceChange> & val) {
+  this->changed = val;
+}
+
+void ConfigDelta::__set_removed(const std::vector<ResourceName> & val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromVersion);
+          this->__isset.fromVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromDigest);
+          this->__isset.fromDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toVersion);
+          this->__isset.toVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toDigest);
+          this->__isset.toDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->header);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changed.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->changed.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->changed[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->removed.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
+            {
+              xfer += this->removed[_i67].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigDelta");
+
+  xfer += oprot->writeFieldBegin("fromVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fromVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fromDigest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fromDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->toVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toDigest", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->toDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->header);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
+    std::vector<ResourceChange> ::const_iterator _iter68;
+    for (_iter68 = this->changed.begin(); _iter68 != this->changed.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removed.size()));
+    std::vector<ResourceName> ::const_iterator _iter69;
+    for (_iter69 = this->removed.begin(); _iter69 != this->removed.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigDelta &a, ConfigDelta &b) {
+  using ::std::swap;
+  swap(a.fromVersion, b.fromVersion);
+  swap(a.fromDigest, b.fromDigest);
+  swap(a.toVersion, b.toVersion);
+  swap(a.toDigest, b.toDigest);
+  swap(a.header, b.header);
+  swap(a.changed, b.changed);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigDelta::ConfigDelta(const ConfigDelta& other70) {
+  fromVersion = other70.fromVersion;
+  fromDigest = other70.fromDigest;
+  toVersion = other70.toVersion;
+  toDigest = other70.toDigest;
+  header = other70.header;
+  changed = other70.changed;
+  removed = other70.removed;
+  __isset = other70.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other71) noexcept {
+  fromVersion = other71.fromVersion;
+  fromDigest = other71.fromDigest;
+  toVersion = other71.toVersion;
+  toDigest = other71.toDigest;
+  header = std::move(other71.header);
+  changed = std::move(other71.changed);
+  removed = std::move(other71.removed);
+  __isset = other71.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other72) {
+  fromVersion = other72.fromVersion;
+  fromDigest = other72.fromDigest;
+  toVersion = other72.toVersion;
+  toDigest = other72.toDigest;
+  header = other72.header;
+  changed = other72.changed;
+  removed = other72.removed;
+  __isset = other72.__isset;
+  return *this;
+}
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other73) noexcept {
+  fromVersion = other73.fromVersion;
+  fromDigest = other73.fromDigest;
+  toVersion = other73.toVersion;
+  toDigest = other73.toDigest;
+  header = std::move(other73.header);
+  changed = std::move(other73.changed);
+  removed = std::move(other73.removed);
+  __isset = other73.__isset;
+  return *this;
+}
+void ConfigDelta::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigDelta(";
+  out << "fromVersion=" << to_string(fromVersion);
+  out << ", " << "fromDigest=" << to_string(fromDigest);
+  out << ", " << "toVersion=" << to_string(toVersion);
+  out << ", " << "toDigest=" << to_string(toDigest);
+  out << ", " << "header=" << to_string(header);
+  out << ", " << "changed=" << to_string(changed);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+ConfigSnapshot::~ConfigSnapshot() noexcept {
+}
+
+
+void ConfigSnapshot::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ConfigSnapshot::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ConfigSnapshot::__set_compressed(const std::string& val) {
+  this->compressed = val;
+}
+
+void ConfigSnapshot::__set_textBytes(const int64_t val) {
+  this->textBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed);
+          this->__isset.compressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->textBytes);
+          this->__isset.textBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigSnapshot");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("compressed", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->compressed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("textBytes", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->textBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigSnapshot &a, ConfigSnapshot &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.compressed, b.compressed);
+  swap(a.textBytes, b.textBytes);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other74) {
+  version = other74.version;
+  digest = other74.digest;
+  compressed = other74.compressed;
+  textBytes = other74.textBytes;
+  __isset = other74.__isset;
+}
+ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other75) noexcept {
+  version = other75.version;
+  digest = other75.digest;
+  compressed = std::move(other75.compressed);
+  textBytes = other75.textBytes;
+  __isset = other75.__isset;
+}
+ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other76) {
+  version = other76.version;
+  digest = other76.digest;
+  compressed = other76.compressed;
+  textBytes = other76.textBytes;
+  __isset = other76.__isset;
+  return *this;
+}
+ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other77) noexcept {
+  version = other77.version;
+  digest = other77.digest;
+  compressed = std::move(other77.compressed);
+  textBytes = other77.textBytes;
+  __isset = other77.__isset;
+  return *this;
+}
 void ConfigSnapshot::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigSnapshot(";
   out << "version=" << to_string(version);
   out << ", " << "digest=" << to_string(digest);
-  out << ", " << "envelope=" << to_string(envelope);
+  out << ", " << "compressed=" << to_string(compressed);
+  out << ", " << "textBytes=" << to_string(textBytes);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/config_types.h
+++ b/cyclamenwind/wire/gen-cpp/config_types.h
@@ -21,33 +21,366 @@
 
 namespace cyclamenwind { namespace wire {
 
+class ConfigSubscribe;
+
+class RelayEntry;
+
+class Laggard;
+
+class DomainStanding;
+
 class ConfigState;
 
-class ConfigPull;
+class ConfigStanding;
+
+class ResourceChange;
+
+class ResourceName;
+
+class ConfigDelta;
 
 class ConfigSnapshot;
 
+typedef struct _ConfigSubscribe__isset {
+  _ConfigSubscribe__isset() : member(false), domain(false), version(false), digest(false), primary(false), fresh(false), rejected(false), directory(false), process(false) {}
+  bool member :1;
+  bool domain :1;
+  bool version :1;
+  bool digest :1;
+  bool primary :1;
+  bool fresh :1;
+  bool rejected :1;
+  bool directory :1;
+  bool process :1;
+} _ConfigSubscribe__isset;
+
+class ConfigSubscribe : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigSubscribe(const ConfigSubscribe&);
+  ConfigSubscribe(ConfigSubscribe&&) noexcept;
+  ConfigSubscribe& operator=(const ConfigSubscribe&);
+  ConfigSubscribe& operator=(ConfigSubscribe&&) noexcept;
+  ConfigSubscribe() noexcept
+                  : member(),
+                    domain(),
+                    version(0),
+                    digest(0),
+                    primary(0),
+                    fresh(0),
+                    rejected(0),
+                    directory(0),
+                    process(0) {
+  }
+
+  virtual ~ConfigSubscribe() noexcept;
+  std::string member;
+  std::string domain;
+  int64_t version;
+  int64_t digest;
+  bool primary;
+  bool fresh;
+  int64_t rejected;
+  int64_t directory;
+  int64_t process;
+
+  _ConfigSubscribe__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_domain(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_primary(const bool val);
+
+  void __set_fresh(const bool val);
+
+  void __set_rejected(const int64_t val);
+
+  void __set_directory(const int64_t val);
+
+  void __set_process(const int64_t val);
+
+  bool operator == (const ConfigSubscribe & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(primary == rhs.primary))
+      return false;
+    if (!(fresh == rhs.fresh))
+      return false;
+    if (!(rejected == rhs.rejected))
+      return false;
+    if (!(directory == rhs.directory))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigSubscribe &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigSubscribe & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigSubscribe &a, ConfigSubscribe &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigSubscribe& obj);
+
+typedef struct _RelayEntry__isset {
+  _RelayEntry__isset() : domain(false), peerAddress(false) {}
+  bool domain :1;
+  bool peerAddress :1;
+} _RelayEntry__isset;
+
+class RelayEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayEntry(const RelayEntry&);
+  RelayEntry(RelayEntry&&) noexcept;
+  RelayEntry& operator=(const RelayEntry&);
+  RelayEntry& operator=(RelayEntry&&) noexcept;
+  RelayEntry() noexcept
+             : domain(),
+               peerAddress() {
+  }
+
+  virtual ~RelayEntry() noexcept;
+  std::string domain;
+  std::string peerAddress;
+
+  _RelayEntry__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_peerAddress(const std::string& val);
+
+  bool operator == (const RelayEntry & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(peerAddress == rhs.peerAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayEntry &a, RelayEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayEntry& obj);
+
+typedef struct _Laggard__isset {
+  _Laggard__isset() : member(false), version(false), lagMs(false), rejected(false) {}
+  bool member :1;
+  bool version :1;
+  bool lagMs :1;
+  bool rejected :1;
+} _Laggard__isset;
+
+class Laggard : public virtual ::apache::thrift::TBase {
+ public:
+
+  Laggard(const Laggard&);
+  Laggard(Laggard&&) noexcept;
+  Laggard& operator=(const Laggard&);
+  Laggard& operator=(Laggard&&) noexcept;
+  Laggard() noexcept
+          : member(),
+            version(0),
+            lagMs(0),
+            rejected(0) {
+  }
+
+  virtual ~Laggard() noexcept;
+  std::string member;
+  int64_t version;
+  int64_t lagMs;
+  int64_t rejected;
+
+  _Laggard__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_lagMs(const int64_t val);
+
+  void __set_rejected(const int64_t val);
+
+  bool operator == (const Laggard & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(lagMs == rhs.lagMs))
+      return false;
+    if (!(rejected == rhs.rejected))
+      return false;
+    return true;
+  }
+  bool operator != (const Laggard &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Laggard & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Laggard &a, Laggard &b);
+
+std::ostream& operator<<(std::ostream& out, const Laggard& obj);
+
+typedef struct _DomainStanding__isset {
+  _DomainStanding__isset() : domain(false), counts(false), unknown(false), rejecting(false), laggards(false), ageMs(false) {}
+  bool domain :1;
+  bool counts :1;
+  bool unknown :1;
+  bool rejecting :1;
+  bool laggards :1;
+  bool ageMs :1;
+} _DomainStanding__isset;
+
+class DomainStanding : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainStanding(const DomainStanding&);
+  DomainStanding(DomainStanding&&) noexcept;
+  DomainStanding& operator=(const DomainStanding&);
+  DomainStanding& operator=(DomainStanding&&) noexcept;
+  DomainStanding() noexcept
+                 : domain(),
+                   unknown(0),
+                   rejecting(0),
+                   ageMs(0) {
+  }
+
+  virtual ~DomainStanding() noexcept;
+  std::string domain;
+  std::map<int64_t, int32_t>  counts;
+  int32_t unknown;
+  int32_t rejecting;
+  std::vector<Laggard>  laggards;
+  int64_t ageMs;
+
+  _DomainStanding__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_counts(const std::map<int64_t, int32_t> & val);
+
+  void __set_unknown(const int32_t val);
+
+  void __set_rejecting(const int32_t val);
+
+  void __set_laggards(const std::vector<Laggard> & val);
+
+  void __set_ageMs(const int64_t val);
+
+  bool operator == (const DomainStanding & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    if (!(unknown == rhs.unknown))
+      return false;
+    if (!(rejecting == rhs.rejecting))
+      return false;
+    if (!(laggards == rhs.laggards))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainStanding &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainStanding & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DomainStanding &a, DomainStanding &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainStanding& obj);
+
 typedef struct _ConfigState__isset {
-  _ConfigState__isset() : version(false), digest(false) {}
+  _ConfigState__isset() : version(false), digest(false), domain(false), relay(false), confirmed(false), platformAway(false), relays(false), standing(false), contendSlot(false), process(false) {}
   bool version :1;
   bool digest :1;
+  bool domain :1;
+  bool relay :1;
+  bool confirmed :1;
+  bool platformAway :1;
+  bool relays :1;
+  bool standing :1;
+  bool contendSlot :1;
+  bool process :1;
 } _ConfigState__isset;
 
 class ConfigState : public virtual ::apache::thrift::TBase {
  public:
 
-  ConfigState(const ConfigState&) noexcept;
+  ConfigState(const ConfigState&);
   ConfigState(ConfigState&&) noexcept;
-  ConfigState& operator=(const ConfigState&) noexcept;
+  ConfigState& operator=(const ConfigState&);
   ConfigState& operator=(ConfigState&&) noexcept;
   ConfigState() noexcept
               : version(0),
-                digest(0) {
+                digest(0),
+                domain(),
+                relay(0),
+                confirmed(0),
+                platformAway(0),
+                contendSlot(0),
+                process(0) {
   }
 
   virtual ~ConfigState() noexcept;
   int64_t version;
   int64_t digest;
+  std::string domain;
+  bool relay;
+  bool confirmed;
+  bool platformAway;
+  std::vector<RelayEntry>  relays;
+  std::vector<DomainStanding>  standing;
+  int32_t contendSlot;
+  int64_t process;
 
   _ConfigState__isset __isset;
 
@@ -55,12 +388,46 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_domain(const std::string& val);
+
+  void __set_relay(const bool val);
+
+  void __set_confirmed(const bool val);
+
+  void __set_platformAway(const bool val);
+
+  void __set_relays(const std::vector<RelayEntry> & val);
+
+  void __set_standing(const std::vector<DomainStanding> & val);
+
+  void __set_contendSlot(const int32_t val);
+
+  void __set_process(const int64_t val);
+
   bool operator == (const ConfigState & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(relay == rhs.relay))
+      return false;
+    if (!(confirmed == rhs.confirmed))
+      return false;
+    if (!(platformAway == rhs.platformAway))
+      return false;
+    if (__isset.relays != rhs.__isset.relays)
+      return false;
+    else if (__isset.relays && !(relays == rhs.relays))
+      return false;
+    if (!(standing == rhs.standing))
+      return false;
+    if (!(contendSlot == rhs.contendSlot))
+      return false;
+    if (!(process == rhs.process))
+      return false;
     return true;
   }
   bool operator != (const ConfigState &rhs) const {
@@ -79,40 +446,98 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigState& obj);
 
-typedef struct _ConfigPull__isset {
-  _ConfigPull__isset() : version(false) {}
-  bool version :1;
-} _ConfigPull__isset;
+typedef struct _ConfigStanding__isset {
+  _ConfigStanding__isset() : sum(false) {}
+  bool sum :1;
+} _ConfigStanding__isset;
 
-class ConfigPull : public virtual ::apache::thrift::TBase {
+class ConfigStanding : public virtual ::apache::thrift::TBase {
  public:
 
-  ConfigPull(const ConfigPull&) noexcept;
-  ConfigPull(ConfigPull&&) noexcept;
-  ConfigPull& operator=(const ConfigPull&) noexcept;
-  ConfigPull& operator=(ConfigPull&&) noexcept;
-  ConfigPull() noexcept
-             : version(0) {
+  ConfigStanding(const ConfigStanding&);
+  ConfigStanding(ConfigStanding&&) noexcept;
+  ConfigStanding& operator=(const ConfigStanding&);
+  ConfigStanding& operator=(ConfigStanding&&) noexcept;
+  ConfigStanding() noexcept {
   }
 
-  virtual ~ConfigPull() noexcept;
-  int64_t version;
+  virtual ~ConfigStanding() noexcept;
+  DomainStanding sum;
 
-  _ConfigPull__isset __isset;
+  _ConfigStanding__isset __isset;
 
-  void __set_version(const int64_t val);
+  void __set_sum(const DomainStanding& val);
 
-  bool operator == (const ConfigPull & rhs) const
+  bool operator == (const ConfigStanding & rhs) const
   {
-    if (!(version == rhs.version))
+    if (!(sum == rhs.sum))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigStanding &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigStanding & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigStanding &a, ConfigStanding &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigStanding& obj);
+
+typedef struct _ResourceChange__isset {
+  _ResourceChange__isset() : arrayName(false), position(false), body(false) {}
+  bool arrayName :1;
+  bool position :1;
+  bool body :1;
+} _ResourceChange__isset;
+
+class ResourceChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  ResourceChange(const ResourceChange&);
+  ResourceChange(ResourceChange&&) noexcept;
+  ResourceChange& operator=(const ResourceChange&);
+  ResourceChange& operator=(ResourceChange&&) noexcept;
+  ResourceChange() noexcept
+                 : arrayName(),
+                   position(0),
+                   body() {
+  }
+
+  virtual ~ResourceChange() noexcept;
+  std::string arrayName;
+  int32_t position;
+  std::string body;
+
+  _ResourceChange__isset __isset;
+
+  void __set_arrayName(const std::string& val);
+
+  void __set_position(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const ResourceChange & rhs) const
+  {
+    if (!(arrayName == rhs.arrayName))
+      return false;
+    if (!(position == rhs.position))
+      return false;
+    if (!(body == rhs.body))
       return false;
     return true;
   }
-  bool operator != (const ConfigPull &rhs) const {
+  bool operator != (const ResourceChange &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ConfigPull & ) const;
+  bool operator < (const ResourceChange & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -120,15 +545,153 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ConfigPull &a, ConfigPull &b);
+void swap(ResourceChange &a, ResourceChange &b);
+
+std::ostream& operator<<(std::ostream& out, const ResourceChange& obj);
+
+typedef struct _ResourceName__isset {
+  _ResourceName__isset() : arrayName(false), name(false) {}
+  bool arrayName :1;
+  bool name :1;
+} _ResourceName__isset;
+
+class ResourceName : public virtual ::apache::thrift::TBase {
+ public:
+
+  ResourceName(const ResourceName&);
+  ResourceName(ResourceName&&) noexcept;
+  ResourceName& operator=(const ResourceName&);
+  ResourceName& operator=(ResourceName&&) noexcept;
+  ResourceName() noexcept
+               : arrayName(),
+                 name() {
+  }
+
+  virtual ~ResourceName() noexcept;
+  std::string arrayName;
+  std::string name;
+
+  _ResourceName__isset __isset;
+
+  void __set_arrayName(const std::string& val);
+
+  void __set_name(const std::string& val);
+
+  bool operator == (const ResourceName & rhs) const
+  {
+    if (!(arrayName == rhs.arrayName))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    return true;
+  }
+  bool operator != (const ResourceName &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ResourceName & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ResourceName &a, ResourceName &b);
+
+std::ostream& operator<<(std::ostream& out, const ResourceName& obj);
+
+typedef struct _ConfigDelta__isset {
+  _ConfigDelta__isset() : fromVersion(false), fromDigest(false), toVersion(false), toDigest(false), header(false), changed(false), removed(false) {}
+  bool fromVersion :1;
+  bool fromDigest :1;
+  bool toVersion :1;
+  bool toDigest :1;
+  bool header :1;
+  bool changed :1;
+  bool removed :1;
+} _ConfigDelta__isset;
+
+class ConfigDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigDelta(const ConfigDelta&);
+  ConfigDelta(ConfigDelta&&) noexcept;
+  ConfigDelta& operator=(const ConfigDelta&);
+  ConfigDelta& operator=(ConfigDelta&&) noexcept;
+  ConfigDelta() noexcept
+              : fromVersion(0),
+                fromDigest(0),
+                toVersion(0),
+                toDigest(0),
+                header() {
+  }
 
-std::ostream& operator<<(std::ostream& out, const ConfigPull& obj);
+  virtual ~ConfigDelta() noexcept;
+  int64_t fromVersion;
+  int64_t fromDigest;
+  int64_t toVersion;
+  int64_t toDigest;
+  std::string header;
+  std::vector<ResourceChange>  changed;
+  std::vector<ResourceName>  removed;
+
+  _ConfigDelta__isset __isset;
+
+  void __set_fromVersion(const int64_t val);
+
+  void __set_fromDigest(const int64_t val);
+
+  void __set_toVersion(const int64_t val);
+
+  void __set_toDigest(const int64_t val);
+
+  void __set_header(const std::string& val);
+
+  void __set_changed(const std::vector<ResourceChange> & val);
+
+  void __set_removed(const std::vector<ResourceName> & val);
+
+  bool operator == (const ConfigDelta & rhs) const
+  {
+    if (!(fromVersion == rhs.fromVersion))
+      return false;
+    if (!(fromDigest == rhs.fromDigest))
+      return false;
+    if (!(toVersion == rhs.toVersion))
+      return false;
+    if (!(toDigest == rhs.toDigest))
+      return false;
+    if (!(header == rhs.header))
+      return false;
+    if (!(changed == rhs.changed))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigDelta &a, ConfigDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj);
 
 typedef struct _ConfigSnapshot__isset {
-  _ConfigSnapshot__isset() : version(false), digest(false), envelope(false) {}
+  _ConfigSnapshot__isset() : version(false), digest(false), compressed(false), textBytes(false) {}
   bool version :1;
   bool digest :1;
-  bool envelope :1;
+  bool compressed :1;
+  bool textBytes :1;
 } _ConfigSnapshot__isset;
 
 class ConfigSnapshot : public virtual ::apache::thrift::TBase {
@@ -141,13 +704,15 @@
   ConfigSnapshot() noexcept
                  : version(0),
                    digest(0),
-                   envelope() {
+                   compressed(),
+                   textBytes(0) {
   }
 
   virtual ~ConfigSnapshot() noexcept;
   int64_t version;
   int64_t digest;
-  std::string envelope;
+  std::string compressed;
+  int64_t textBytes;
 
   _ConfigSnapshot__isset __isset;
 
@@ -155,7 +720,9 @@
 
   void __set_digest(const int64_t val);
 
-  void __set_envelope(const std::string& val);
+  void __set_compressed(const std::string& val);
+
+  void __set_textBytes(const int64_t val);
 
   bool operator == (const ConfigSnapshot & rhs) const
   {
@@ -163,7 +730,9 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
-    if (!(envelope == rhs.envelope))
+    if (!(compressed == rhs.compressed))
+      return false;
+    if (!(textBytes == rhs.textBytes))
       return false;
     return true;
   }
--- a/testing/pausable.h
+++ b/testing/pausable.h
@@ -30,10 +30,14 @@
   }
 
   TimerHandle after(Duration Delay, std::function<void()> Action) override {
-    return Timers.after(Delay, guarded(std::move(Action)));
+    return cancellable(std::move(Action), [&](std::function<void()> Guarded) {
+      return Timers.after(Delay, std::move(Guarded));
+    });
   }
   TimerHandle every(Duration Period, std::function<void()> Action) override {
-    return Timers.every(Period, guarded(std::move(Action)));
+    return cancellable(std::move(Action), [&](std::function<void()> Guarded) {
+      return Timers.every(Period, std::move(Guarded));
+    });
   }
   void defer(std::function<void()> Action) override {
     Timers.defer(guarded(std::move(Action)));
@@ -61,6 +65,29 @@
   }
 
 private:
+  // Cancels also what is held back.
+  class HeldTimer final : public Timer {
+  public:
+    HeldTimer(TimerHandle Inner, std::shared_ptr<bool> Active)
+        : Inner(std::move(Inner)), Active(std::move(Active)) {}
+    ~HeldTimer() override { *Active = false; }
+
+  private:
+    TimerHandle Inner;
+    std::shared_ptr<bool> Active;
+  };
+
+  template <typename Make>
+  TimerHandle cancellable(std::function<void()> Action, Make MakeTimer) {
+    auto Active = std::make_shared<bool>(true);
+    TimerHandle Inner = MakeTimer(guarded([Active, Action = std::move(Action)] {
+      std::function<void()> Copy = Action;
+      if (*Active)
+        Copy();
+    }));
+    return std::make_unique<HeldTimer>(std::move(Inner), Active);
+  }
+
   std::function<void()> guarded(std::function<void()> Action) {
     return [this, Action = std::move(Action), Alive = this->Alive] {
       if (!*Alive)
