Traffic faults in virtual time, claims on idempotency keys, graceful daemon stop

Cause: no check from outside showed that refusals are true and that calls run at most once; a daemon that stopped could cut requests that crossed its end; a request sent again with its Idempotency-Key was run again. Change: traffic_faults runs 16 faults at six steps on fakes and checks callers' and backend servers' records; a stopping daemon refuses what still comes and closes its streams by agreement; a draining server is given nothing more, also not what was about to be sent; routes may claim keys on the platform; the fake platform applies writes of a client that has died.

--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -22,6 +22,8 @@
 // How long after leaving a daemon still takes calls, so that all others have
 // heard that it left.
 constexpr Duration LeaveNoticeTime = 1500ms;
+// How long streams to other daemons may take to close by agreement.
+constexpr Duration CloseLimit = 2s;
 
 uint64_t freshSeed() {
   std::random_device Source;
@@ -129,16 +131,42 @@
   DrainTimer = TheLoop.every(DrainCheckPeriod, [this] { checkDrained(); });
 }
 
+// Requests of callers and calls on backend servers that have not ended, and
+// responses not yet written.
+size_t Daemon::unfinished() {
+  return Services.find<CallerSide>("caller_side").active() +
+         Services.find<ServerSide>("server_side").active() +
+         CallerServer->unfinished();
+}
+
 void Daemon::checkDrained() {
-  Duration Elapsed = TheLoop.now() - DrainBegun;
-  size_t Active = Services.find<CallerSide>("caller_side").active() +
-                  Services.find<ServerSide>("server_side").active();
-  bool Finished = Active == 0 && Elapsed >= LeaveNoticeTime;
-  if (!Finished && Elapsed < TheSettings.Traffic.DrainLimit)
+  TimePoint Now = TheLoop.now();
+  if (Now - DrainBegun >= TheSettings.Traffic.DrainLimit) {
+    logWarning("daemon_stopped",
+               {{"cause", "drain limit"}, {"calls_cut", unfinished()}});
+    TheLoop.stop();
+    return;
+  }
+  if (Now - DrainBegun < LeaveNoticeTime)
     return;
-  logInfo("daemon_stopped", {{"cause", Finished ? "drained" : "drain limit"},
-                             {"calls_cut", Active}});
+  Services.find<ServerSide>("server_side").refuseNew();
+  if (unfinished() > 0)
+    return;
+  if (!ClosingBegun)
+    beginClosing();
+  bool Closed = Services.find<TcpTransport>("peers").links() == 0;
+  if (!Closed && Now - *ClosingBegun < CloseLimit)
+    return;
+  logInfo("daemon_stopped", {{"cause", "drained"}});
   TheLoop.stop();
 }
 
+// Nothing runs any more. Requests that still come on open connections and
+// streams are refused until those have been closed.
+void Daemon::beginClosing() {
+  ClosingBegun = TheLoop.now();
+  CallerServer->stopAccepting();
+  Services.find<TcpTransport>("peers").leave();
+}
+
 } // namespace cyclamenwind
--- a/cyclamenwind/daemon/daemon.h
+++ b/cyclamenwind/daemon/daemon.h
@@ -35,8 +35,10 @@
 
   void start();
 
-  // Leaves gracefully: takes no new work, finishes what runs within the drain
-  // limit, then stops the loop. A second call stops the loop at once.
+  // Leaves gracefully: tells all members, refuses callers' new requests,
+  // finishes what runs, closes its streams by agreement, then stops the loop.
+  // At the drain limit the loop stops whatever still runs. A second call stops
+  // it at once.
   void shutdown();
 
   Kernel &kernel() { return Services; }
@@ -47,6 +49,8 @@
   Result<void, DaemonError> bind();
   void addServices();
   void checkDrained();
+  size_t unfinished();
+  void beginClosing();
 
   Loop &TheLoop;
   Settings TheSettings;
@@ -57,6 +61,7 @@
   TimerHandle DrainTimer;
   TimePoint DrainBegun;
   bool Draining = false;
+  std::optional<TimePoint> ClosingBegun;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/document/document.cpp
+++ b/cyclamenwind/document/document.cpp
@@ -25,6 +25,11 @@
     {Priority::Urgent, "urgent"},
 }};
 
+constexpr std::array<EnumName<ResubmissionRule>, 2> ResubmissionNames = {{
+    {ResubmissionRule::Forward, "forward"},
+    {ResubmissionRule::Claim, "claim"},
+}};
+
 constexpr std::array<EnumName<SetTimeRule>, 2> RuleNames = {{
     {SetTimeRule::TakeBack, "take-back"},
     {SetTimeRule::StayUndecided, "stay-undecided"},
@@ -83,6 +88,8 @@
       "deadline_ms", 1, MaxDeadlineMs, milliseconds(Spec.Deadline)));
   Spec.Repeatable = Reader.booleanOr("repeatable", Spec.Repeatable);
   Spec.Urgency = readEnum(Reader, "priority", PriorityNames, Spec.Urgency);
+  Spec.Resubmission =
+      readEnum(Reader, "resubmission", ResubmissionNames, Spec.Resubmission);
   Reader.finish();
   return Spec;
 }
@@ -201,7 +208,8 @@
                       {"match", Match},
                       {"deadline_ms", milliseconds(Each.Deadline)},
                       {"repeatable", Each.Repeatable},
-                      {"priority", nameOf(Each.Urgency)}});
+                      {"priority", nameOf(Each.Urgency)},
+                      {"resubmission", nameOf(Each.Resubmission)}});
   }
   json Moves = json::array();
   for (const MoveSpec &Each : Value.Moves)
@@ -220,6 +228,10 @@
 
 std::string_view nameOf(Priority Value) { return nameIn(PriorityNames, Value); }
 
+std::string_view nameOf(ResubmissionRule Value) {
+  return nameIn(ResubmissionNames, Value);
+}
+
 std::string_view nameOf(SetTimeRule Value) { return nameIn(RuleNames, Value); }
 
 const ServiceSpec *Document::service(std::string_view Name) const {
--- a/cyclamenwind/document/document.h
+++ b/cyclamenwind/document/document.h
@@ -43,6 +43,14 @@
 
 std::string_view nameOf(Priority Value);
 
+// What happens to a request that comes again with the same Idempotency-Key.
+enum class ResubmissionRule {
+  Forward, // It is a request like any other.
+  Claim,   // It is not run again; see traffic/claims.h.
+};
+
+std::string_view nameOf(ResubmissionRule Value);
+
 struct ServiceSpec {
   std::string Name;
   // Version of the backend servers that receive calls outside of a move.
@@ -60,6 +68,7 @@
   // Whether a call may run more than once.
   bool Repeatable = false;
   Priority Urgency = Priority::Normal;
+  ResubmissionRule Resubmission = ResubmissionRule::Forward;
 
   bool operator==(const RouteSpec &) const = default;
 };
--- a/cyclamenwind/traffic/caller_side.cpp
+++ b/cyclamenwind/traffic/caller_side.cpp
@@ -89,7 +89,7 @@
 } // namespace
 
 CallerSide::CallerSide(const Settings &TheSettings)
-    : Self(TheSettings.Addresses.Peers),
+    : Self(TheSettings.Addresses.Peers), MemberId(TheSettings.Member.Id),
       FailureDomain(TheSettings.Member.FailureDomain) {}
 
 void CallerSide::start(Kernel &Host) {
@@ -103,6 +103,7 @@
   Counters = &Host.find<Metrics>("metrics");
   Dice = &Host.random();
   NextId = 1 + Dice->below(IdStartLimit);
+  KeyClaims = std::make_unique<Claims>(Host.find<PlatformClient>("platform"));
   Balance = std::make_unique<Balancer>(FailureDomain, *Dice);
   Peers->handle(FrameType::CallReply,
                 [this](const Address &From, std::string_view Payload) {
@@ -155,10 +156,56 @@
   Added.Timeout =
       Timers->after(*Deadline + ReplyGrace, [this, Id] { timedOut(Id); });
   Received->onPeerGone([this, Id] { callerLeft(Id); });
+  bool Claimed = Route->Resubmission == ResubmissionRule::Claim &&
+                 !Added.Request.idempotencyKey.empty();
+  if (Claimed)
+    claim(Id);
+  else
+    begin(Id);
+}
+
+void CallerSide::begin(uint64_t Id) {
   Retries.firstAttempt();
   attempt(Id);
 }
 
+// Makes the claim on the call's idempotency key before anything is sent.
+void CallerSide::claim(uint64_t Id) {
+  Claim Wanted = Claims::claimFor(Calls.at(Id).Request, MemberId,
+                                  static_cast<int64_t>(Dice->next()));
+  KeyClaims->make(Wanted, [this, Id](const ClaimOutcome &Outcome) {
+    claimed(Id, Outcome);
+  });
+}
+
+void CallerSide::claimed(uint64_t Id, const ClaimOutcome &Outcome) {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end()) {
+    // The call ended meanwhile, and was not run.
+    if (Outcome.Verdict == ClaimVerdict::Granted)
+      KeyClaims->release(Outcome.Held, [] {});
+    return;
+  }
+  switch (Outcome.Verdict) {
+  case ClaimVerdict::Granted:
+    Found->second.Held = Outcome.Held;
+    begin(Id);
+    break;
+  case ClaimVerdict::Taken:
+    if (Outcome.Answer)
+      answer(Id, *Outcome.Answer, /*Replayed=*/true);
+    else
+      end(Id, CallEnd::Unknown, CallReason::AlreadyClaimed);
+    break;
+  case ClaimVerdict::Mismatch:
+    end(Id, CallEnd::Refused, CallReason::KeyMismatch);
+    break;
+  case ClaimVerdict::Unavailable:
+    end(Id, CallEnd::Refused, CallReason::NoClaim);
+    break;
+  }
+}
+
 void CallerSide::refuseAtOnce(const ExchangePtr &Received, CallReason Reason) {
   Counters->countCall("", CallEnd::Refused, Reason);
   HttpResponse Response = failureResponse(CallEnd::Refused, Reason);
@@ -252,7 +299,9 @@
   observe(Current, Reply);
   CallEnd End = endOf(Reply.ending);
   if (End == CallEnd::Answered) {
-    answer(Id, Reply);
+    if (Current.Held)
+      KeyClaims->keep(*Current.Held, Reply);
+    answer(Id, Reply, /*Replayed=*/false);
     return;
   }
   Current.Peer = {};
@@ -291,6 +340,10 @@
 
 void CallerSide::timedOut(uint64_t Id) {
   Call &Current = Calls.at(Id);
+  if (Current.Attempts == 0) {
+    end(Id, CallEnd::Refused, CallReason::NoClaim);
+    return;
+  }
   observe(Current, failedReply(CallEnd::Unknown, CallReason::DeadlinePassed));
   cancelAttempt(Id, Current);
   end(Id, CallEnd::Unknown, CallReason::DeadlinePassed,
@@ -299,6 +352,10 @@
 
 void CallerSide::callerLeft(uint64_t Id) {
   Call &Current = Calls.at(Id);
+  if (Current.Attempts == 0) {
+    end(Id, CallEnd::Refused, CallReason::Cancelled);
+    return;
+  }
   cancelAttempt(Id, Current);
   end(Id, CallEnd::Unknown, CallReason::Cancelled);
 }
@@ -315,7 +372,8 @@
   Peers->sendMessage(Cancelled.Peer, FrameType::CallCancel, Message);
 }
 
-void CallerSide::answer(uint64_t Id, const wire::CallReply &Reply) {
+void CallerSide::answer(uint64_t Id, const wire::CallReply &Reply,
+                        bool Replayed) {
   auto Found = Calls.find(Id);
   Call Ended = std::move(Found->second);
   Calls.erase(Found);
@@ -325,7 +383,10 @@
     Response.Headers.push_back({Each.name, Each.value});
   Response.Headers.push_back({EndHeader, "answered"});
   Response.Headers.push_back({RouteHeader, Ended.Route->Name});
-  Response.Headers.push_back({VersionHeader, Ended.Version});
+  if (Replayed)
+    Response.Headers.push_back({ReplayedHeader, "true"});
+  else
+    Response.Headers.push_back({VersionHeader, Ended.Version});
   Response.Body = Reply.body;
   Counters->countCall(Ended.Route->Name, CallEnd::Answered, CallReason::None);
   Ended.Caller->reply(Response);
@@ -341,7 +402,14 @@
   Response.Headers.push_back({RouteHeader, Ended.Route->Name});
   if (Verdict != RetryVerdict::Retry)
     Response.Headers.push_back({NoRetryHeader, std::string(nameOf(Verdict))});
-  Ended.Caller->reply(Response);
+  if (!Ended.Held || End != CallEnd::Refused) {
+    Ended.Caller->reply(Response);
+    return;
+  }
+  // The caller may resubmit as soon as it has the response.
+  KeyClaims->release(*Ended.Held, [Caller = Ended.Caller, Response] {
+    Caller->reply(Response);
+  });
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/traffic/caller_side.h
+++ b/cyclamenwind/traffic/caller_side.h
@@ -22,6 +22,7 @@
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/transport.h"
 #include "cyclamenwind/traffic/balancer.h"
+#include "cyclamenwind/traffic/claims.h"
 #include "cyclamenwind/traffic/retry.h"
 #include "cyclamenwind/traffic/server_side.h"
 #include "cyclamenwind/traffic/versions.h"
@@ -53,6 +54,7 @@
     const ServiceSpec *Target = nullptr;
     wire::CallRequest Request;
     uint64_t CallerHash = 0;
+    std::optional<Claim> Held; // Once granted.
     TimePoint Deadline;
     int Attempts = 0;
     int UnknownAttempts = 0;
@@ -69,6 +71,9 @@
   };
 
   void refuseAtOnce(const ExchangePtr &Received, CallReason Reason);
+  void claim(uint64_t Id);
+  void claimed(uint64_t Id, const ClaimOutcome &Outcome);
+  void begin(uint64_t Id);
   void attempt(uint64_t Id);
   void dispatch(uint64_t Id);
   void receiveReply(const Address &From, std::string_view Payload);
@@ -79,11 +84,12 @@
   void timedOut(uint64_t Id);
   void callerLeft(uint64_t Id);
   void cancelAttempt(uint64_t Id, Call &Cancelled);
-  void answer(uint64_t Id, const wire::CallReply &Reply);
+  void answer(uint64_t Id, const wire::CallReply &Reply, bool Replayed);
   void end(uint64_t Id, CallEnd End, CallReason Reason,
            RetryVerdict Verdict = RetryVerdict::Retry);
 
   Address Self;
+  std::string MemberId;
   std::string FailureDomain;
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
@@ -95,6 +101,7 @@
   Metrics *Counters = nullptr;
   Random *Dice = nullptr;
   std::unique_ptr<Balancer> Balance;
+  std::unique_ptr<Claims> KeyClaims;
   std::map<uint64_t, Call> Calls;
   RetryPolicy Retries;
   uint64_t NextId = 1;
--- a/cyclamenwind/traffic/ends.cpp
+++ b/cyclamenwind/traffic/ends.cpp
@@ -11,7 +11,7 @@
     {CallEnd::Unknown, "unknown"},
 }};
 
-constexpr std::array<EnumName<CallReason>, 15> ReasonNames = {{
+constexpr std::array<EnumName<CallReason>, 18> ReasonNames = {{
     {CallReason::None, "none"},
     {CallReason::NotReady, "not_ready"},
     {CallReason::NoRoute, "no_route"},
@@ -24,9 +24,12 @@
     {CallReason::DaemonDown, "daemon_down"},
     {CallReason::ShuttingDown, "shutting_down"},
     {CallReason::Cancelled, "cancelled"},
+    {CallReason::NoClaim, "no_claim"},
+    {CallReason::KeyMismatch, "key_mismatch"},
     {CallReason::DeadlinePassed, "deadline_passed"},
     {CallReason::ConnectionLost, "connection_lost"},
     {CallReason::BadAnswer, "bad_answer"},
+    {CallReason::AlreadyClaimed, "already_claimed"},
 }};
 
 } // namespace
@@ -43,11 +46,20 @@
 
 int statusOf(CallEnd End, CallReason Reason) {
   if (End == CallEnd::Unknown)
-    return Reason == CallReason::DeadlinePassed ? 504 : 502;
+    switch (Reason) {
+    case CallReason::DeadlinePassed:
+      return 504;
+    case CallReason::AlreadyClaimed:
+      return 409;
+    default:
+      return 502;
+    }
   if (Reason == CallReason::NoRoute)
     return 404;
   if (Reason == CallReason::BadRequest)
     return 400;
+  if (Reason == CallReason::KeyMismatch)
+    return 422;
   return 503;
 }
 
--- a/cyclamenwind/traffic/ends.h
+++ b/cyclamenwind/traffic/ends.h
@@ -32,10 +32,13 @@
   DaemonDown,   // No connection to the daemon beside the backend server.
   ShuttingDown, // The daemon is shutting down.
   Cancelled,    // The caller has left.
+  NoClaim,      // The platform gave no certain word on the idempotency key.
+  KeyMismatch,  // The idempotency key was used for another request.
   // Unknown.
   DeadlinePassed, // The deadline passed after the request had been sent.
   ConnectionLost, // The connection broke after the request had been sent.
   BadAnswer,      // The response was cut, too large or malformed.
+  AlreadyClaimed, // Sent before with this idempotency key; not run again.
 };
 
 std::string_view nameOf(CallReason Reason);
@@ -54,6 +57,8 @@
 inline constexpr char DeadlineHeader[] = "Cyclamenwind-Deadline-Ms";
 // Keeps a caller's calls on one version during a move.
 inline constexpr char CallerKeyHeader[] = "Cyclamenwind-Caller-Key";
+// Set on an answer that an earlier request with the same key was given.
+inline constexpr char ReplayedHeader[] = "Cyclamenwind-Replayed";
 inline constexpr char IdempotencyKeyHeader[] = "Idempotency-Key";
 
 } // namespace cyclamenwind
--- a/cyclamenwind/traffic/server_side.cpp
+++ b/cyclamenwind/traffic/server_side.cpp
@@ -202,13 +202,16 @@
   });
 }
 
-// Refuses the calls that wait for a server which takes no more.
+// Refuses the calls of which a server that takes no more has seen no byte.
 void ServerSide::refuseWaiting(const Address &Listen) {
   std::vector<uint64_t> Waiting;
-  for (const auto &[Number, Each] : Calls)
-    if (Each.Target == Listen && !Each.Admitted &&
-        Servers.at(Listen).Gate.withdraw(Number))
+  for (const auto &[Number, Each] : Calls) {
+    if (Each.Target != Listen)
+      continue;
+    bool Unsent = Each.Admitted && !Each.Http->sent();
+    if (Unsent || Servers.at(Listen).Gate.withdraw(Number))
       Waiting.push_back(Number);
+  }
   for (uint64_t Number : Waiting)
     refuse(Number, CallReason::ServerLeft);
 }
--- a/cyclamenwind/wire/calls.thrift
+++ b/cyclamenwind/wire/calls.thrift
@@ -46,3 +46,12 @@
 struct CallCancel {
   1: i64 id
 }
+
+// What a claim on an idempotency key holds on the platform.
+struct ClaimRecord {
+  1: i64 operation
+  // Hash of what was asked.
+  2: i64 request
+  3: string holder
+  4: optional CallReply answer
+}
--- a/cyclamenwind/wire/gen-cpp/calls_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/calls_types.cpp
@@ -908,4 +908,173 @@
   out << ")";
 }
 
+
+ClaimRecord::~ClaimRecord() noexcept {
+}
+
+
+void ClaimRecord::__set_operation(const int64_t val) {
+  this->operation = val;
+}
+
+void ClaimRecord::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void ClaimRecord::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void ClaimRecord::__set_answer(const CallReply& val) {
+  this->answer = val;
+__isset.answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ClaimRecord");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ClaimRecord &a, ClaimRecord &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.request, b.request);
+  swap(a.holder, b.holder);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+ClaimRecord::ClaimRecord(const ClaimRecord& other29) {
+  operation = other29.operation;
+  request = other29.request;
+  holder = other29.holder;
+  answer = other29.answer;
+  __isset = other29.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other30) noexcept {
+  operation = other30.operation;
+  request = other30.request;
+  holder = std::move(other30.holder);
+  answer = std::move(other30.answer);
+  __isset = other30.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other31) {
+  operation = other31.operation;
+  request = other31.request;
+  holder = other31.holder;
+  answer = other31.answer;
+  __isset = other31.__isset;
+  return *this;
+}
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other32) noexcept {
+  operation = other32.operation;
+  request = other32.request;
+  holder = std::move(other32.holder);
+  answer = std::move(other32.answer);
+  __isset = other32.__isset;
+  return *this;
+}
+void ClaimRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ClaimRecord(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/cyclamenwind/wire/gen-cpp/calls_types.h
+++ b/cyclamenwind/wire/gen-cpp/calls_types.h
@@ -43,6 +43,8 @@
 
 class CallCancel;
 
+class ClaimRecord;
+
 typedef struct _Header__isset {
   _Header__isset() : name(false), value(false) {}
   bool name :1;
@@ -358,6 +360,73 @@
 
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj);
 
+typedef struct _ClaimRecord__isset {
+  _ClaimRecord__isset() : operation(false), request(false), holder(false), answer(false) {}
+  bool operation :1;
+  bool request :1;
+  bool holder :1;
+  bool answer :1;
+} _ClaimRecord__isset;
+
+class ClaimRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  ClaimRecord(const ClaimRecord&);
+  ClaimRecord(ClaimRecord&&) noexcept;
+  ClaimRecord& operator=(const ClaimRecord&);
+  ClaimRecord& operator=(ClaimRecord&&) noexcept;
+  ClaimRecord() noexcept
+              : operation(0),
+                request(0),
+                holder() {
+  }
+
+  virtual ~ClaimRecord() noexcept;
+  int64_t operation;
+  int64_t request;
+  std::string holder;
+  CallReply answer;
+
+  _ClaimRecord__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  void __set_request(const int64_t val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_answer(const CallReply& val);
+
+  bool operator == (const ClaimRecord & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const ClaimRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ClaimRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ClaimRecord &a, ClaimRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj);
+
 }} // namespace
 
 #endif
--- a/faults/traffic_faults.cpp
+++ b/faults/traffic_faults.cpp
@@ -14,6 +14,7 @@
 #include "cyclamenwind/base/names.h"
 
 #include <cstring>
+#include <set>
 
 using namespace cyclamenwind;
 using namespace cyclamenwind::testing;
@@ -22,6 +23,7 @@
 
 constexpr uint64_t CiSeeds = 5;
 constexpr uint64_t AllSeeds = 60;
+constexpr int Daemons = 3;
 constexpr int CallsPerCase = 40;
 constexpr Duration CallSpacing = 2ms;
 constexpr Duration RestartTime = 150ms;
@@ -150,6 +152,7 @@
 struct CaseResult {
   int Violations = 0;
   std::string Detail;
+  std::set<char> Broken; // Numbers of the invariants.
   int Answered = 0;
   int Refused = 0;
   int Unknown = 0;
@@ -157,9 +160,10 @@
 };
 
 CaseResult runOne(Fault Kind, CallStep Step, bool Repeatable, uint64_t Seed,
-                  TrafficMutant Mutant) {
+                  TrafficMutant Mutant, int Daemons) {
   TrafficOptions Options;
   Options.Seed = Seed;
+  Options.Daemons = Daemons;
   Options.Mutant = Mutant;
   TrafficWorld World(Options);
   std::vector<TimerHandle> Timers;
@@ -181,6 +185,8 @@
   if (!Found.empty())
     Outcome.Detail =
         "seed=" + std::to_string(Seed) + " first=\"" + Found.front() + "\"";
+  for (const std::string &Each : Found)
+    Outcome.Broken.insert(Each.front());
   for (const CallerRecord &Each : World.Callers) {
     const std::string *End = findHeader(Each.Response.Headers, EndHeader);
     if (End == nullptr)
@@ -193,14 +199,15 @@
 }
 
 CaseResult runSeeds(Fault Kind, CallStep Step, bool Repeatable, uint64_t Seeds,
-                    TrafficMutant Mutant) {
+                    TrafficMutant Mutant, int Daemons) {
   CaseResult Total;
   bool Reached = true;
   for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-    CaseResult One = runOne(Kind, Step, Repeatable, Seed, Mutant);
+    CaseResult One = runOne(Kind, Step, Repeatable, Seed, Mutant, Daemons);
     if (Total.Detail.empty())
       Total.Detail = One.Detail;
     Total.Violations += One.Violations;
+    Total.Broken.merge(One.Broken);
     Total.Answered += One.Answered;
     Total.Refused += One.Refused;
     Total.Unknown += One.Unknown;
@@ -218,8 +225,8 @@
   for (const auto &[Kind, Name] : FaultNames)
     for (CallStep Step : AllCallSteps)
       for (bool Repeatable : {false, true}) {
-        CaseResult Total =
-            runSeeds(Kind, Step, Repeatable, Seeds, TrafficMutant::None);
+        CaseResult Total = runSeeds(Kind, Step, Repeatable, Seeds,
+                                    TrafficMutant::None, Daemons);
         Report.add(std::string(Name), std::string(nameOf(Step)),
                    Total.Violations,
                    "repeatable=" + std::string(Repeatable ? "yes" : "no") +
@@ -234,20 +241,22 @@
 struct MutantCase {
   TrafficMutant Mutant;
   const char *Name;
-  const char *Invariant;
+  char Invariant;
   Fault Kind;
   CallStep Step;
+  // One: no other server answers in place of the refusal.
+  int Daemons;
 };
 
 constexpr std::array<MutantCase, 4> MutantCases = {{
-    {TrafficMutant::PassesCutAnswer, "passes_cut_answer",
-     "5:", Fault::CutAnswer, CallStep::AnswerHalfIn},
-    {TrafficMutant::DeniesFirstByte, "denies_first_byte",
-     "6:", Fault::ServerKill, CallStep::Waiting},
-    {TrafficMutant::SendsTwice, "sends_twice", "7:", Fault::CutAnswer,
+    {TrafficMutant::PassesCutAnswer, "passes_cut_answer", '5', Fault::CutAnswer,
      CallStep::AnswerHalfIn},
-    {TrafficMutant::IgnoresDrain, "ignores_drain", "8:", Fault::ServerDrain,
-     CallStep::Waiting},
+    {TrafficMutant::DeniesFirstByte, "denies_first_byte", '6',
+     Fault::ServerKill, CallStep::Waiting},
+    {TrafficMutant::SendsTwice, "sends_twice", '7', Fault::CutAnswer,
+     CallStep::AnswerHalfIn, Daemons},
+    {TrafficMutant::IgnoresDrain, "ignores_drain", '8', Fault::ServerDrain,
+     CallStep::Waiting, Daemons},
 }};
 
 // A mutant counts as passed if the check of its invariant caught it.
@@ -255,8 +264,8 @@
   FaultReport Report;
   for (const MutantCase &Each : MutantCases) {
     CaseResult Total = runSeeds(Each.Kind, Each.Step, /*Repeatable=*/false,
-                                Seeds, Each.Mutant);
-    bool Caught = Total.Detail.find(Each.Invariant) != std::string::npos;
+                                Seeds, Each.Mutant, Each.Daemons);
+    bool Caught = Total.Broken.count(Each.Invariant) != 0;
     Report.add(std::string("mutant_") + Each.Name,
                std::string(nameOf(Each.Step)), Caught ? 0 : 1,
                "caught=" + std::string(Caught ? "yes" : "no") + " " +
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -52,15 +52,17 @@
     return;
   }
   ++(IsWrite ? Shared.Writes : Shared.Reads);
-  Shared.deliver([this, Done = std::move(Done), Alive = this->Alive,
+  // What was sent takes effect even if the client dies meanwhile.
+  FakePlatform *Platform = &Shared;
+  Shared.deliver([Platform, Done = std::move(Done), Alive = this->Alive,
                   Operation = std::move(Operation), IsWrite] {
     Result<T, PlatformError> Outcome = Operation();
     if (IsWrite)
-      Shared.wake();
-    bool Lost = IsWrite && Shared.LoseAnswers > 0;
+      Platform->wake();
+    bool Lost = IsWrite && Platform->LoseAnswers > 0;
     if (Lost)
-      --Shared.LoseAnswers;
-    Shared.deliver([Done, Alive, Outcome, Lost] {
+      --Platform->LoseAnswers;
+    Platform->deliver([Done, Alive, Outcome, Lost] {
       if (*Alive)
         Done(Lost ? Result<T, PlatformError>(PlatformError::NoAnswer)
                   : Outcome);
@@ -71,15 +73,16 @@
 void FakePlatformClient::read(const std::string &Key,
                               PlatformDone<PlatformObject> Done) {
   answer<PlatformObject>(
-      std::move(Done), [this, Key] { return Shared.Store.read(Key); }, false);
+      std::move(Done),
+      [Platform = &Shared, Key] { return Platform->Store.read(Key); }, false);
 }
 
 void FakePlatformClient::list(const std::string &Prefix,
                               PlatformDone<PlatformListing> Done) {
   answer<PlatformListing>(
       std::move(Done),
-      [this, Prefix]() -> Result<PlatformListing, PlatformError> {
-        return Shared.Store.list(Prefix);
+      [Platform = &Shared, Prefix]() -> Result<PlatformListing, PlatformError> {
+        return Platform->Store.list(Prefix);
       },
       false);
 }
@@ -89,8 +92,8 @@
                                PlatformDone<uint64_t> Done) {
   answer<uint64_t>(
       std::move(Done),
-      [this, Key, Value, IfVersion] {
-        return Shared.Store.write(Key, Value, IfVersion);
+      [Platform = &Shared, Key, Value, IfVersion] {
+        return Platform->Store.write(Key, Value, IfVersion);
       },
       true);
 }
@@ -99,7 +102,9 @@
                                 PlatformDone<uint64_t> Done) {
   answer<uint64_t>(
       std::move(Done),
-      [this, Key, IfVersion] { return Shared.Store.remove(Key, IfVersion); },
+      [Platform = &Shared, Key, IfVersion] {
+        return Platform->Store.remove(Key, IfVersion);
+      },
       true);
 }
 
--- a/testing/traffic_world.h
+++ b/testing/traffic_world.h
@@ -58,7 +58,7 @@
   bool Sheds = false;  // Answers 503 without running.
   bool Slow = false;   // Answers after the deadline.
   bool Cuts = false;   // Breaks its connections half way in an answer.
-  std::optional<TimePoint> DrainBegun;
+  std::optional<TimePoint> DrainBegun = std::nullopt;
 };
 
 // What one caller saw.
@@ -66,6 +66,7 @@
   std::string Id;
   std::string Key; // Idempotency key; empty: none.
   bool Repeatable = false;
+  int Through = 0; // Daemon that was asked.
   TimePoint Begun;
   std::optional<TimePoint> Ended;
   int Replies = 0;
@@ -131,6 +132,8 @@
 
   void reached(CallStep Step, int Server);
   void announce(int Index);
+  int touchedWithKey(const std::string &Key) const;
+  bool isAnswerTo(const CallerRecord &Each, bool Replayed) const;
   void checkCaller(const CallerRecord &Each, bool Planned,
                    std::vector<std::string> &Found) const;
 
