--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -5,13 +5,14 @@
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/config/watcher.h"
 #include "cyclamenwind/membership/membership.h"
+#include "cyclamenwind/moves/service.h"
 #include "cyclamenwind/operators/api.h"
+#include "cyclamenwind/operators/audit_api.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/tcp_transport.h"
 #include "cyclamenwind/platform/service.h"
 #include "cyclamenwind/traffic/caller_side.h"
 #include "cyclamenwind/traffic/server_side.h"
-#include "cyclamenwind/traffic/versions.h"
 
 #include <random>
 
@@ -59,13 +60,14 @@
   Services.add(std::make_unique<PlatformService>(
       TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform, Dice));
   Services.add(std::make_unique<Metrics>());
+  Services.add(std::make_unique<AuditTrail>());
   Services.add(std::make_unique<ConfigStore>());
   Services.add(std::make_unique<PlatformWatcher>());
   Services.add(std::make_unique<Acceptance>());
   Services.add(std::make_unique<Announcements>(
       TheSettings.Membership.AnnouncementLifetime));
   Services.add(std::make_unique<Membership>(TheSettings, Incarnation));
-  Services.add(std::make_unique<AcceptedVersions>());
+  Services.add(std::make_unique<MoveService>());
   Services.add(std::make_unique<ServerSide>(
       std::make_unique<HttpClient>(
           TheLoop,
@@ -75,6 +77,8 @@
       TheSettings.Traffic));
   Services.add(std::make_unique<CallerSide>(TheSettings));
   Services.add(std::make_unique<OperatorApi>(TheSettings));
+  Services.add(std::make_unique<DocumentApi>(TheSettings.Member.FailureDomain));
+  Services.add(std::make_unique<AuditApi>());
 }
 
 Result<void, DaemonError> Daemon::bind() {
@@ -109,6 +113,10 @@
 
 void Daemon::start() {
   Services.start();
+  Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
+  Services.find<OperatorApi>("operators").addStatus("moves", [this] {
+    return Services.find<MoveService>("versions").status();
+  });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
            {"peers", TheSettings.Addresses.Peers.text()},
