--- a/testing/traffic_world.h
+++ b/testing/traffic_world.h
@@ -66,6 +66,7 @@
   std::string Id;
   std::string Key; // Idempotency key; empty: none.
   bool Repeatable = false;
+  int Through = 0; // Daemon that was asked.
   TimePoint Begun;
   std::optional<TimePoint> Ended;
   int Replies = 0;
@@ -131,6 +132,8 @@
 
   void reached(CallStep Step, int Server);
   void announce(int Index);
+  int touchedWithKey(const std::string &Key) const;
+  bool isAnswerTo(const CallerRecord &Each, bool Replayed) const;
   void checkCaller(const CallerRecord &Each, bool Planned,
                    std::vector<std::string> &Found) const;
 
