--- a/cyclamenwind/membership/codec.cpp
+++ b/cyclamenwind/membership/codec.cpp
@@ -51,6 +51,8 @@
   Result.incarnation = Record.Incarnation;
   Result.revision = Record.Revision;
   Result.state = stateToWire(Record.State);
+  if (Record.State != MemberState::Alive)
+    return Result;
   Result.peerAddress = Record.Peer.text();
   Result.failureDomain = Record.FailureDomain;
   for (const Offer &Each : Record.Offers)
@@ -60,18 +62,20 @@
 }
 
 std::optional<Member> fromWire(const wire::MemberRecord &Record) {
-  std::optional<Address> Peer = parseAddress(Record.peerAddress);
   std::optional<MemberState> State = stateFromWire(Record.state);
   bool InRange = Record.incarnation >= 0 && Record.incarnation < MaxCounter &&
                  Record.revision >= 0 && Record.revision < MaxCounter;
-  if (!Peer || !State || !InRange || Record.id.empty())
+  if (!State || !InRange || Record.id.empty())
+    return std::nullopt;
+  std::optional<Address> Peer = parseAddress(Record.peerAddress);
+  if (!Peer && *State == MemberState::Alive)
     return std::nullopt;
   Member Result;
   Result.Id = Record.id;
   Result.Incarnation = Record.incarnation;
   Result.Revision = Record.revision;
   Result.State = *State;
-  Result.Peer = *Peer;
+  Result.Peer = Peer.value_or(Address());
   Result.FailureDomain = Record.failureDomain;
   for (const wire::Offer &Each : Record.offers)
     Result.Offers.push_back(
--- a/cyclamenwind/membership/codec.h
+++ b/cyclamenwind/membership/codec.h
@@ -12,7 +12,8 @@
 
 wire::MemberRecord toWire(const Member &Record);
 
-// Nothing if the record is malformed.
+// Nothing if the record is malformed. Unless it is alive, only its id, counters
+// and state are sure to be set.
 std::optional<Member> fromWire(const wire::MemberRecord &Record);
 
 } // namespace cyclamenwind
--- a/cyclamenwind/membership/protocol.h
+++ b/cyclamenwind/membership/protocol.h
@@ -5,7 +5,7 @@
 // (rumours.h) and on probes and acks. Each probe and ack carries a digest of
 // the sender's roster; where digests stay different, the records of the
 // differing buckets are pulled, a bounded number at a time, which is also how a
-// new member learns the roster. Gossip and pulled records share a budget of
+// new member learns the roster. Gossip and repair have budgets of
 // octets. Dead and left members are forgotten after a time; the addresses of
 // dead ones are kept longer and tried now and then, so that two halves that
 // were cut from each other find together again.
@@ -30,12 +30,23 @@
 // Period in which MemberProtocol::tick() is to be called.
 constexpr Duration MemberTickPeriod = 50ms;
 
+// Octets of records in a datagram, and on a probe or an ack.
+constexpr size_t GossipBytes = MaxDatagramBytes - 16;
+constexpr size_t PiggybackBytes = 300;
+// Type octet, UDP and IP headers of a datagram.
+constexpr size_t DatagramHeaderBytes = 29;
+// Changes that are looked at for one datagram.
+constexpr size_t MaxRumoursPerDatagram = 32;
+
 struct ProtocolOptions {
   Duration GossipPeriod = 200ms;
   Duration ProbePeriod = 500ms;
-  // Gossip and pulled records, with the headers of their datagrams.
-  double BytesPerSecond = 3000;
-  double BurstBytes = 64 * 1024;
+  // Octets with the headers of their datagrams. Probes and acks need no budget:
+  // their number is fixed.
+  double GossipBytesPerSecond = 1200;
+  double GossipBurst = 64 * 1024;
+  double RepairBytesPerSecond = 400;
+  double RepairBurst = 32 * 1024;
 };
 
 // A frame to send: as a datagram, or on the stream if it is too large.
@@ -123,9 +134,15 @@
   void noteContact(const Address &From);
   Duration suspicionTime() const;
   template <typename T>
-  void send(const Address &To, FrameType Type, const T &Message);
+  void send(const Address &To, FrameType Type, const T &Message) {
+    Out.push_back({To, Type, encodeMessage(Message)});
+  }
   template <typename T>
-  void sendOnBudget(const Address &To, FrameType Type, const T &Message);
+  void sendOn(ByteBudget &Spent, const Address &To, FrameType Type,
+              const T &Message) {
+    send(To, Type, Message);
+    Spent.spend(Out.back().Payload.size() + DatagramHeaderBytes);
+  }
   Outbox taken() { return std::exchange(Out, {}); }
 
   ProtocolOptions Options;
@@ -136,6 +153,7 @@
   RumourQueue Rumours;
   FailureDetector Detector;
   ByteBudget Budget;
+  ByteBudget RepairBudget;
   Outbox Out;
   std::map<std::string, Suspicion> Suspicions;
   // When a member that left or died is forgotten.
--- a/cyclamenwind/wire/gen-cpp/membership_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/membership_types.cpp
@@ -1217,6 +1217,10 @@
 void RosterPull::__set_bucketDigests(const std::string& val) {
   this->bucketDigests = val;
 }
+
+void RosterPull::__set_joining(const bool val) {
+  this->joining = val;
+}
 std::ostream& operator<<(std::ostream& out, const RosterPull& obj)
 {
   obj.printTo(out);
@@ -1253,6 +1257,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1274,6 +1286,10 @@
   xfer += oprot->writeBinary(this->bucketDigests);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->joining);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1282,24 +1298,29 @@
 void swap(RosterPull &a, RosterPull &b) {
   using ::std::swap;
   swap(a.bucketDigests, b.bucketDigests);
+  swap(a.joining, b.joining);
   swap(a.__isset, b.__isset);
 }
 
 RosterPull::RosterPull(const RosterPull& other53) {
   bucketDigests = other53.bucketDigests;
+  joining = other53.joining;
   __isset = other53.__isset;
 }
 RosterPull::RosterPull(RosterPull&& other54) noexcept {
   bucketDigests = std::move(other54.bucketDigests);
+  joining = other54.joining;
   __isset = other54.__isset;
 }
 RosterPull& RosterPull::operator=(const RosterPull& other55) {
   bucketDigests = other55.bucketDigests;
+  joining = other55.joining;
   __isset = other55.__isset;
   return *this;
 }
 RosterPull& RosterPull::operator=(RosterPull&& other56) noexcept {
   bucketDigests = std::move(other56.bucketDigests);
+  joining = other56.joining;
   __isset = other56.__isset;
   return *this;
 }
@@ -1307,6 +1328,7 @@
   using ::apache::thrift::to_string;
   out << "RosterPull(";
   out << "bucketDigests=" << to_string(bucketDigests);
+  out << ", " << "joining=" << to_string(joining);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/membership_types.h
+++ b/cyclamenwind/wire/gen-cpp/membership_types.h
@@ -489,8 +489,9 @@
 std::ostream& operator<<(std::ostream& out, const ProbeNack& obj);
 
 typedef struct _RosterPull__isset {
-  _RosterPull__isset() : bucketDigests(false) {}
+  _RosterPull__isset() : bucketDigests(false), joining(false) {}
   bool bucketDigests :1;
+  bool joining :1;
 } _RosterPull__isset;
 
 class RosterPull : public virtual ::apache::thrift::TBase {
@@ -501,20 +502,26 @@
   RosterPull& operator=(const RosterPull&);
   RosterPull& operator=(RosterPull&&) noexcept;
   RosterPull() noexcept
-             : bucketDigests() {
+             : bucketDigests(),
+               joining(0) {
   }
 
   virtual ~RosterPull() noexcept;
   std::string bucketDigests;
+  bool joining;
 
   _RosterPull__isset __isset;
 
   void __set_bucketDigests(const std::string& val);
 
+  void __set_joining(const bool val);
+
   bool operator == (const RosterPull & rhs) const
   {
     if (!(bucketDigests == rhs.bucketDigests))
       return false;
+    if (!(joining == rhs.joining))
+      return false;
     return true;
   }
   bool operator != (const RosterPull &rhs) const {
--- a/cyclamenwind/wire/membership.thrift
+++ b/cyclamenwind/wire/membership.thrift
@@ -17,7 +17,9 @@
   4: bool draining
 }
 
-// A member's record; the higher (incarnation, revision) supersedes.
+// A member's record; the higher (incarnation, revision) supersedes. Unless the
+// state is ALIVE the fields after it are left out, and the receiver keeps those
+// that it holds.
 struct MemberRecord {
   1: string id
   2: i64 incarnation
@@ -66,6 +68,8 @@
 // records of the buckets that differ.
 struct RosterPull {
   1: binary bucketDigests
+  // The sender is still learning the roster and is not to be pulled from.
+  2: bool joining
 }
 
 // Records that a pull asked for; not passed on.
--- a/testing/member_fleet.cpp
+++ b/testing/member_fleet.cpp
@@ -10,7 +10,7 @@
 constexpr size_t ContactsOnStart = 3;
 constexpr size_t RecordsPerFrame = 12;
 constexpr size_t ServiceCount = 61;
-constexpr Duration Step = 10ms;
+constexpr Duration Step = 20ms;
 constexpr FrameType Frames[] = {
     FrameType::Gossip,    FrameType::RosterPull, FrameType::RosterRecords,
     FrameType::Probe,     FrameType::ProbeAck,   FrameType::ProbeRequest,
@@ -162,15 +162,18 @@
   return Count;
 }
 
+bool MemberFleet::usedBy(size_t I, size_t Who) const {
+  std::string Id = idOf(Who);
+  for (const Endpoint &Each : protocol(I).endpoints().of(serviceOf(Who)))
+    if (Each.MemberId == Id && !Each.Suspected)
+      return true;
+  return false;
+}
+
 size_t MemberFleet::users(size_t Who) const {
   size_t Count = 0;
-  std::string Id = idOf(Who);
-  for (size_t I = 0; I < size(); ++I) {
-    if (!running(I) || I == Who)
-      continue;
-    for (const Endpoint &Each : protocol(I).endpoints().of(serviceOf(Who)))
-      Count += Each.MemberId == Id && !Each.Suspected ? 1 : 0;
-  }
+  for (size_t I = 0; I < size(); ++I)
+    Count += running(I) && I != Who && usedBy(I, Who) ? 1 : 0;
   return Count;
 }
 
--- a/testing/member_fleet.h
+++ b/testing/member_fleet.h
@@ -41,6 +41,8 @@
   bool converged() const;
   // Running members that hold Who in State or, for Alive, as fit for new work.
   size_t holders(size_t Who, MemberState State) const;
+  // Whether I, which runs, gives new work to Who.
+  bool usedBy(size_t I, size_t Who) const;
   // Running members that still give new work to Who.
   size_t users(size_t Who) const;
   // Pairs of a running member and a running one that it holds dead.
