--- a/cyclamenwind/membership/protocol_timers.cpp
+++ b/cyclamenwind/membership/protocol_timers.cpp
@@ -26,7 +26,7 @@
 constexpr size_t JoinPulls = 1;
 constexpr Duration MaxJoinTime = 10s;
 // Digests that differ for less are left to gossip.
-constexpr Duration RepairDelay = 1s;
+constexpr Duration RepairDelay = 500ms;
 constexpr Duration RepairPeriod = 1s;
 // Any two rosters are compared now and then, whatever the ring.
 constexpr Duration RandomPullPeriod = 5s;
--- a/cyclamenwind/traffic/balancer.h
+++ b/cyclamenwind/traffic/balancer.h
@@ -4,9 +4,9 @@
 // those ejected for their outcomes (ejection.h), unless that would leave out
 // more than half of them. A subset of the rest (subset.h) bounds the streams a
 // daemon holds. Endpoints of the same failure domain come first while any of
-// them has a free slot; then the load spills over to all. Of two random ones the
-// less loaded is taken, counting this daemon's own calls and the load that the
-// member reported last; new ones are given more load little by little. Pure
+// them has a free slot; then the load spills over to all. Of two random ones
+// the less loaded is taken, counting this daemon's own calls and the load that
+// the member reported last; new ones are given more load little by little. Pure
 // deciding code.
 
 #ifndef CYCLAMENWIND_TRAFFIC_BALANCER_H
--- a/cyclamenwind/traffic/caller_side.cpp
+++ b/cyclamenwind/traffic/caller_side.cpp
@@ -103,7 +103,7 @@
   Counters = &Host.find<Metrics>("metrics");
   Dice = &Host.random();
   NextId = 1 + Dice->below(IdStartLimit);
-  Balance = std::make_unique<Balancer>(FailureDomain, *Dice);
+  Balance = std::make_unique<Balancer>(Self.text(), FailureDomain, *Dice);
   Peers->handle(FrameType::CallReply,
                 [this](const Address &From, std::string_view Payload) {
                   receiveReply(From, Payload);
@@ -173,8 +173,9 @@
   Current.Version =
       Versions->versionFor(*Current.Target, *Current.Route, Current.CallerHash,
                            /*PreferOld=*/Current.Attempts > 0, Now);
-  const Endpoint *Chosen = Balance->choose(
-      Members->endpoints(Current.Target->Name), Current.Version, Current.Tried);
+  const Endpoint *Chosen =
+      Balance->choose(Members->endpoints(Current.Target->Name), Current.Version,
+                      Current.Tried, Now);
   if (Chosen == nullptr) {
     CallEnd End =
         Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
@@ -248,7 +249,8 @@
 void CallerSide::attemptEnded(uint64_t Id, const wire::CallReply &Reply) {
   Call &Current = Calls.at(Id);
   Balance->ended(Current.MemberId);
-  Balance->reported(Current.MemberId, {Reply.inFlight, Reply.queued});
+  Balance->reported(Current.MemberId, {Reply.inFlight, Reply.queued},
+                    Time->now());
   observe(Current, Reply);
   CallEnd End = endOf(Reply.ending);
   if (End == CallEnd::Answered) {
@@ -281,6 +283,9 @@
   Outcome.Status = Reply.status;
   Outcome.Latency = Now - Ended.AttemptBegun;
   Versions->observe(Outcome, Now);
+  Balance->observed({Outcome.Service, Outcome.Version, Outcome.MemberId},
+                    Outcome.End, Outcome.Reason, Outcome.Status,
+                    Outcome.Latency, Now);
 }
 
 RetryVerdict CallerSide::mayRetry(const Call &Candidate, CallEnd End) {
--- a/cyclamenwind/traffic/ejection.h
+++ b/cyclamenwind/traffic/ejection.h
@@ -3,10 +3,10 @@
 //
 // What a server's health endpoint says is not asked: it lags and misleads. A
 // member is ejected after several failures in a row, or when its share of
-// failures or its latency stands out from the others of its service. An ejection
-// ends after a time that doubles with each one in a row; then the member takes
-// calls on trial and is ejected again at the next sign. The caller bounds how
-// many are left out at a time. Pure deciding code.
+// failures or its latency stands out from the others of its service. An
+// ejection ends after a time that doubles with each one in a row; then the
+// member takes calls on trial and is ejected again at the next sign. The caller
+// bounds how many are left out at a time. Pure deciding code.
 
 #ifndef CYCLAMENWIND_TRAFFIC_EJECTION_H
 #define CYCLAMENWIND_TRAFFIC_EJECTION_H
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -15,8 +15,12 @@
 std::vector<Endpoint> endpoints(size_t Count, size_t Domains) {
   std::vector<Endpoint> List;
   for (size_t I = 0; I < Count; ++I)
-    List.push_back({"m" + std::to_string(I), {}, "d" + std::to_string(I % Domains),
-                    "v1", Slots, false});
+    List.push_back({"m" + std::to_string(I),
+                    {},
+                    "d" + std::to_string(I % Domains),
+                    "v1",
+                    Slots,
+                    false});
   return List;
 }
 
@@ -87,7 +91,8 @@
   CHECK(Choice.picks(100, Warm + 1s)["m0"] > 20);
 }
 
-TEST_CASE("a failing server is ejected, comes back, and is ejected for longer") {
+TEST_CASE(
+    "a failing server is ejected, comes back, and is ejected for longer") {
   Subject Choice(4);
   Choice.observe("m1", 5, 500, 1ms, Warm);
   CHECK(Choice.picks(200, Warm)["m1"] == 0);
@@ -99,7 +104,8 @@
   CHECK(Choice.picks(200, Back + 10s)["m1"] == 0);
 }
 
-TEST_CASE("a slow server stands out; a service that is slow throughout does not") {
+TEST_CASE(
+    "a slow server stands out; a service that is slow throughout does not") {
   Subject Choice(4);
   for (const char *Id : {"m0", "m2", "m3"})
     Choice.observe(Id, 30, 200, 5ms, Warm);
@@ -165,7 +171,8 @@
     std::string Self = "daemon-" + std::to_string(Daemon);
     auto Subset = subsetFor(Self, "d" + std::to_string(Daemon % 4), All, 8, 8);
     REQUIRE(Subset.size() == 16);
-    REQUIRE(Subset == subsetFor(Self, "d" + std::to_string(Daemon % 4), All, 8, 8));
+    REQUIRE(Subset ==
+            subsetFor(Self, "d" + std::to_string(Daemon % 4), All, 8, 8));
     for (const Endpoint *Each : Subset)
       ++Chosen[Each->MemberId];
   }
