--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -90,7 +90,7 @@
     Report.figure("idle_datagrams" + Suffix, Quiet.MeanFrames, "1/s");
     measureChurn(Fleet, Quiet, Suffix);
     measureRemoval(Fleet, Suffix);
-    measureDomain(Fleet, Suffix);
+    measureDomain(Size, Suffix);
   }
 
   // One restart, spread over the time between two restarts at this size.
@@ -131,8 +131,11 @@
                   MaxRemovalSeconds);
   }
 
-  // All daemons of a domain stop at once and start again within 10 s.
-  void measureDomain(MemberFleet &Fleet, const std::string &Suffix) {
+  // All daemons of a domain stop at once and start again within 10 s, in a
+  // fleet that was quiet before.
+  void measureDomain(size_t Size, const std::string &Suffix) {
+    MemberFleet Fleet(Size, Domains, Seed);
+    Fleet.startTogether();
     std::vector<size_t> Domain;
     for (size_t I = 0; I < Fleet.size(); I += Domains)
       Domain.push_back(I);
--- a/testing/traffic_world.h
+++ b/testing/traffic_world.h
@@ -58,7 +58,7 @@
   bool Sheds = false;  // Answers 503 without running.
   bool Slow = false;   // Answers after the deadline.
   bool Cuts = false;   // Breaks its connections half way in an answer.
-  std::optional<TimePoint> DrainBegun;
+  std::optional<TimePoint> DrainBegun = std::nullopt;
 };
 
 // What one caller saw.
