--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -38,9 +38,11 @@
   ProbeRequest = 25,
   ProbeNack = 26,
   // Configuration.
-  ConfigState = 30,
-  ConfigPull = 31,
-  ConfigSnapshot = 32,
+  ConfigSubscribe = 30,
+  ConfigState = 31,
+  ConfigDelta = 32,
+  ConfigSnapshot = 33,
+  ConfigStanding = 34,
   // Version moves.
   MoveDigest = 40,
   MoveEntries = 41,
