--- a/cyclamenwind/moves/decider.cpp
+++ b/cyclamenwind/moves/decider.cpp
@@ -138,7 +138,10 @@
   if (Old.Calls == 0 || New.Calls + Old.Calls < MinBlockCalls)
     return;
   double Weight = weightSince(State.LastBlock, Now);
-  Factors Errors = factorsOf(State.Open, errorMeasurement(State.Past));
+  Measurement Failed = errorMeasurement(State.Past);
+  State.ErrorDifference.add(Failed.Read(New), Failed.Read(Old));
+  ErrorDifferenceInStep.add(Failed.Read(New), Failed.Read(Old));
+  Factors Errors = factorsOf(State.Open, Failed);
   State.Errors.add(Errors.All, Errors.Without, Weight);
   ErrorFactors.add(Errors);
   if (std::optional<Measurement> Slow = latencyMeasurement(State.Past)) {
@@ -264,20 +267,29 @@
   return Sum.errorRate();
 }
 
+void Decider::beginStep() {
+  CallsInStep = 0;
+  ErrorDifferenceInStep = {};
+}
+
 bool Decider::enoughFor(const MoveStep &Step) const {
   if (Step.Share >= 1)
     return true;
   if (Step.Share > SmallShare &&
       static_cast<double>(CallsInStep) <
-          neededCalls(serviceErrorRate(), Step.Share))
+          neededCalls(serviceErrorRate(), Step.Share) &&
+      !ErrorDifferenceInStep.below(Spec.MaxErrorIncrease, Spec.MissRate))
     return false;
   for (const RouteSpec &Route : RouteSpecs) {
     double Share = Route.Repeatable ? Step.Share : Step.NonRepeatableShare;
     // A route that no one calls has nothing to show.
-    if (Share < SmallShare || Routes.count(Route.Name) == 0)
+    auto State = Routes.find(Route.Name);
+    if (Share < SmallShare || State == Routes.end())
       continue;
-    if (static_cast<double>(newCalls(Route.Name)) <
-        neededCalls(Route.Name, SmallShare))
+    if (static_cast<double>(State->second.NewCalls) <
+            neededCalls(Route.Name, SmallShare) &&
+        !State->second.ErrorDifference.below(Spec.MaxErrorIncrease,
+                                             Spec.MissRate))
       return false;
   }
   return true;
--- a/cyclamenwind/moves/decider.h
+++ b/cyclamenwind/moves/decider.h
@@ -12,6 +12,7 @@
 #ifndef CYCLAMENWIND_MOVES_DECIDER_H
 #define CYCLAMENWIND_MOVES_DECIDER_H
 
+#include "cyclamenwind/moves/difference.h"
 #include "cyclamenwind/moves/evidence.h"
 #include "cyclamenwind/moves/machine.h"
 #include "cyclamenwind/moves/sequential_test.h"
@@ -59,11 +60,12 @@
 
   // Whether the new version has had enough calls for the move to go on to the
   // step after Step: on each route in the whole move at a small share, on the
-  // service in this step at a larger one.
+  // service in this step at a larger one. Enough are as many as a fault would
+  // have been found with, or as many as show that there is none.
   bool enoughFor(const MoveStep &Step) const;
 
   // Starts the count of a step's calls.
-  void beginStep() { CallsInStep = 0; }
+  void beginStep();
 
   // Calls on the new version that Route must have had at Share.
   double neededCalls(const std::string &Route, double Share) const;
@@ -96,6 +98,7 @@
     uint64_t NewCalls = 0;
     TestGroup Errors;
     TestGroup Latency;
+    RateDifference ErrorDifference;
     WallTime LastBlock;
   };
 
@@ -136,6 +139,7 @@
   Factors LatencyFactors; // As above.
   std::set<std::string> Servers;
   uint64_t CallsInStep = 0;
+  RateDifference ErrorDifferenceInStep;
   std::optional<MoveFault> Found;
 };
 
--- /dev/null
+++ b/cyclamenwind/moves/difference.h
@@ -0,0 +1,32 @@
+// RateDifference: how much more often calls on the new version are hits, over
+// blocks in which both versions were called at the same times.
+//
+// The Mantel-Haenszel estimate of a risk difference (Greenland and Robins,
+// 1985): blocks are weighted by the calls of both sides, so that a rate that
+// changes over time, while the share changes too, does not look like a
+// difference.
+
+#ifndef CYCLAMENWIND_MOVES_DIFFERENCE_H
+#define CYCLAMENWIND_MOVES_DIFFERENCE_H
+
+#include "cyclamenwind/moves/sequential_test.h"
+
+namespace cyclamenwind {
+
+class RateDifference {
+public:
+  void add(const SideBlock &New, const SideBlock &Old);
+
+  // Whether a difference of Limit would have shown as more than what was seen,
+  // but for a probability of MissRate over repeated looks.
+  bool below(double Limit, double MissRate) const;
+
+private:
+  double Weight = 0;
+  double Sum = 0;      // Of the weighted differences.
+  double Variance = 0; // Of Sum.
+};
+
+} // namespace cyclamenwind
+
+#endif
