Acceptance tells what happened after lost answers and races

Cause: a document written with its answer lost and then replaced by another was reported as a lost race ("nothing was written"); so was one whose write was still under way when the unchanged object was read back. Change: the envelope remembers the operations of the eight versions before it; after a lost answer an unchanged object is written again with the same condition; beyond what is remembered the answer is "unknown".

--- a/cyclamenwind/config/acceptance.cpp
+++ b/cyclamenwind/config/acceptance.cpp
@@ -60,7 +60,9 @@
       Done(AcceptanceError{AcceptanceErrorCode::Conflict, std::nullopt});
       return;
     }
-    write(Request, /*NewVersion=*/1, /*ObjectVersion=*/0, std::move(Done));
+    Envelope First = {1, Request.OperationId, Request.Author, Request.Now,
+                      Request.Body};
+    write({Request, std::move(First)}, std::move(Done));
     return;
   }
   Result<Envelope, DocumentErrors> Present = parseEnvelope(Object->Value);
@@ -68,8 +70,8 @@
     Done(AcceptanceError{AcceptanceErrorCode::Unparseable, std::nullopt});
     return;
   }
-  if (Present.value().OperationId == Request.OperationId) {
-    Done(Present.value().Version);
+  if (auto Earlier = Present.value().versionOf(Request.OperationId)) {
+    Done(*Earlier);
     return;
   }
   uint64_t Version = Present.value().Version;
@@ -77,67 +79,107 @@
     Done(AcceptanceError{AcceptanceErrorCode::Conflict, Present.value()});
     return;
   }
-  write(Request, Version + 1, Object->Version, std::move(Done));
+  Envelope Next = {Version + 1,    Request.OperationId,
+                   Request.Author, Request.Now,
+                   Request.Body,   Present.value().pastOfNext()};
+  write({Request, std::move(Next), Object->Version}, std::move(Done));
 }
 
-void Acceptance::write(const AcceptanceRequest &Request, uint64_t NewVersion,
-                       uint64_t ObjectVersion, AcceptanceDone Done) {
-  Envelope Written = {NewVersion, Request.OperationId, Request.Author,
-                      Request.Now, Request.Body};
-  Platform->write(
-      DocumentKey, formatEnvelope(Written), ObjectVersion,
-      [this, Request, NewVersion,
-       Done = std::move(Done)](Result<uint64_t, PlatformError> Outcome) {
-        if (Outcome) {
-          logInfo("document_accepted",
-                  {{"version", NewVersion}, {"author", Request.Author}});
-          Done(NewVersion);
-          return;
-        }
-        switch (Outcome.error()) {
-        case PlatformError::Conflict:
-        case PlatformError::NoAnswer:
-        case PlatformError::Malformed:
-          readBack(Request.OperationId, 0, Done);
-          return;
-        default:
-          Done(AcceptanceError{AcceptanceErrorCode::NotWritten, std::nullopt});
-        }
-      });
+void Acceptance::write(Attempt Current, AcceptanceDone Done) {
+  std::string Text = formatEnvelope(Current.Written);
+  uint64_t ObjectVersion = Current.ObjectVersion;
+  Platform->write(DocumentKey, Text, ObjectVersion,
+                  [this, Current = std::move(Current), Done = std::move(Done)](
+                      Result<uint64_t, PlatformError> Outcome) {
+                    written(Current, std::move(Outcome), Done);
+                  });
+}
+
+void Acceptance::written(Attempt Current,
+                         Result<uint64_t, PlatformError> Outcome,
+                         const AcceptanceDone &Done) {
+  if (Outcome) {
+    logInfo("document_accepted", {{"version", Current.Written.Version},
+                                  {"author", Current.Written.Author}});
+    Done(Current.Written.Version);
+    return;
+  }
+  switch (Outcome.error()) {
+  case PlatformError::NoAnswer:
+  case PlatformError::Malformed:
+    Current.MayHaveWritten = true;
+    readBack(Current, Done);
+    return;
+  case PlatformError::Conflict:
+    readBack(Current, Done);
+    return;
+  default:
+    if (Current.MayHaveWritten)
+      again(std::move(Current), Done, /*Rewrite=*/false);
+    else
+      Done(AcceptanceError{AcceptanceErrorCode::NotWritten, std::nullopt});
+  }
 }
 
 // Learns from the object in place whether the operation took effect.
-void Acceptance::readBack(const std::string &OperationId, int Failures,
-                          AcceptanceDone Done) {
-  Platform->read(DocumentKey, [this, OperationId, Failures,
-                               Done = std::move(Done)](
+void Acceptance::readBack(const Attempt &Current, AcceptanceDone Done) {
+  Platform->read(DocumentKey, [this, Current, Done = std::move(Done)](
                                   Result<PlatformObject, PlatformError> Read) {
-    if (!Read) {
-      if (Failures + 1 >= MaxReadBacks) {
-        Done(AcceptanceError{AcceptanceErrorCode::Unknown, std::nullopt});
-        return;
-      }
-      Duration Delay =
-          backoffDelay(Failures + 1, ReadBackBase, ReadBackLimit, *Jitter);
-      auto Pending = std::make_shared<TimerHandle>();
-      *Pending =
-          Timers->after(Delay, [this, OperationId, Failures, Done, Pending] {
-            TimerHandle Fired = std::move(*Pending);
-            readBack(OperationId, Failures + 1, Done);
-          });
-      return;
-    }
-    Result<Envelope, DocumentErrors> Present =
-        parseEnvelope(Read.value().Value);
-    if (!Present) {
-      Done(AcceptanceError{AcceptanceErrorCode::Unparseable, std::nullopt});
-      return;
-    }
-    if (Present.value().OperationId == OperationId) {
-      Done(Present.value().Version);
-      return;
-    }
-    Done(AcceptanceError{AcceptanceErrorCode::Conflict, Present.value()});
+    if (Read)
+      judge(Current, Read.value().Value, Done);
+    else
+      again(Current, Done,
+            /*Rewrite=*/Read.error() == PlatformError::NotFound);
+  });
+}
+
+void Acceptance::judge(const Attempt &Current, const std::string &Text,
+                       const AcceptanceDone &Done) {
+  Result<Envelope, DocumentErrors> Parsed = parseEnvelope(Text);
+  if (!Parsed) {
+    Done(AcceptanceError{Current.MayHaveWritten
+                             ? AcceptanceErrorCode::Unknown
+                             : AcceptanceErrorCode::Unparseable,
+                         std::nullopt});
+    return;
+  }
+  const Envelope &Present = Parsed.value();
+  if (auto Accepted = Present.versionOf(Current.Request.OperationId)) {
+    Done(*Accepted);
+    return;
+  }
+  if (Current.MayHaveWritten && Present.Version < Current.Written.Version) {
+    again(Current, Done, /*Rewrite=*/true);
+    return;
+  }
+  // An envelope remembers a bounded number of operations.
+  bool Forgotten =
+      Present.Version > Current.Written.Version + MaxPastOperations;
+  Done(AcceptanceError{Current.MayHaveWritten && Forgotten
+                           ? AcceptanceErrorCode::Unknown
+                           : AcceptanceErrorCode::Conflict,
+                       Present});
+}
+
+// Reads back, or writes, again after a delay, a bounded number of times.
+void Acceptance::again(Attempt Current, const AcceptanceDone &Done,
+                       bool Rewrite) {
+  if (++Current.Failures >= MaxReadBacks) {
+    AcceptanceErrorCode Code = Current.MayHaveWritten
+                                   ? AcceptanceErrorCode::Unknown
+                                   : AcceptanceErrorCode::Conflict;
+    Done(AcceptanceError{Code, std::nullopt});
+    return;
+  }
+  Duration Delay =
+      backoffDelay(Current.Failures, ReadBackBase, ReadBackLimit, *Jitter);
+  auto Pending = std::make_shared<TimerHandle>();
+  *Pending = Timers->after(Delay, [this, Current, Done, Rewrite, Pending] {
+    TimerHandle Fired = std::move(*Pending);
+    if (Rewrite)
+      write(Current, Done);
+    else
+      readBack(Current, Done);
   });
 }
 
--- a/cyclamenwind/config/acceptance.h
+++ b/cyclamenwind/config/acceptance.h
@@ -2,9 +2,13 @@
 //
 // The document replaces the version that its author last saw, so that of two
 // racing authors one is told of the other's version. Each write carries an
-// operation id; when the platform's answer is lost, the object is read back and
-// the id tells whether the write took effect. Repeating an accepted operation
-// yields the version it was accepted as.
+// operation id, and the envelope remembers those of the versions before it.
+// When the platform's answer to a write is lost, the object is read back: the
+// ids tell whether the write took effect, also if another document has replaced
+// it since. If the object is unchanged the write may still be under way; it is
+// sent again with the same condition, so that one of the two at most takes
+// effect. Repeating an accepted operation yields the version it was accepted
+// as.
 
 #ifndef CYCLAMENWIND_CONFIG_ACCEPTANCE_H
 #define CYCLAMENWIND_CONFIG_ACCEPTANCE_H
@@ -52,13 +56,25 @@
   void accept(const AcceptanceRequest &Request, AcceptanceDone Done);
 
 private:
+  // A write of which the answer may be lost.
+  struct Attempt {
+    AcceptanceRequest Request;
+    Envelope Written;
+    uint64_t ObjectVersion = 0; // Version of the object that it replaces.
+    bool MayHaveWritten = false;
+    int Failures = 0;
+  };
+
   void compare(const AcceptanceRequest &Request,
                Result<PlatformListing, PlatformError> Listing,
                AcceptanceDone Done);
-  void write(const AcceptanceRequest &Request, uint64_t NewVersion,
-             uint64_t ObjectVersion, AcceptanceDone Done);
-  void readBack(const std::string &OperationId, int Failures,
-                AcceptanceDone Done);
+  void write(Attempt Current, AcceptanceDone Done);
+  void written(Attempt Current, Result<uint64_t, PlatformError> Outcome,
+               const AcceptanceDone &Done);
+  void readBack(const Attempt &Current, AcceptanceDone Done);
+  void judge(const Attempt &Current, const std::string &Text,
+             const AcceptanceDone &Done);
+  void again(Attempt Current, const AcceptanceDone &Done, bool Rewrite);
 
   PlatformClient *Platform = nullptr;
   Scheduler *Timers = nullptr;
--- a/cyclamenwind/document/document.cpp
+++ b/cyclamenwind/document/document.cpp
@@ -213,6 +213,25 @@
   return {{"services", Services}, {"routes", Routes}, {"moves", Moves}};
 }
 
+PastOperation readPastOperation(const json &Node, std::string Path,
+                                DocumentErrors &Errors) {
+  ObjectReader Reader(Node, std::move(Path), Errors);
+  PastOperation Past;
+  Past.Version =
+      static_cast<uint64_t>(Reader.integerOr("version", 1, INT64_MAX, 1));
+  Past.OperationId = Reader.name("operation");
+  Reader.finish();
+  return Past;
+}
+
+json jsonOf(const std::vector<PastOperation> &Past) {
+  json List = json::array();
+  for (const PastOperation &Each : Past)
+    List.push_back(
+        {{"version", Each.Version}, {"operation", Each.OperationId}});
+  return List;
+}
+
 // Room for the envelope's own members.
 constexpr size_t EnvelopeOverheadBytes = 10 * 1000;
 
@@ -250,9 +269,28 @@
                {"author", Value.Author},
                {"written", formatWallTime(Value.Written)},
                {"document", jsonOf(Value.Body)}};
+  if (!Value.Past.empty())
+    Node["past"] = jsonOf(Value.Past);
   return Node.dump();
 }
 
+std::vector<PastOperation> Envelope::pastOfNext() const {
+  std::vector<PastOperation> Next = {{Version, OperationId}};
+  Next.insert(Next.end(), Past.begin(), Past.end());
+  if (Next.size() > MaxPastOperations)
+    Next.resize(MaxPastOperations);
+  return Next;
+}
+
+std::optional<uint64_t> Envelope::versionOf(std::string_view Operation) const {
+  if (OperationId == Operation)
+    return Version;
+  for (const PastOperation &Each : Past)
+    if (Each.OperationId == Operation)
+      return Each.Version;
+  return std::nullopt;
+}
+
 Result<Envelope, DocumentErrors> parseEnvelope(std::string_view Text) {
   DocumentErrors Errors;
   std::optional<json> Node =
@@ -270,6 +308,10 @@
   Value.Written = Reader.time("written");
   if (const json *Body = Reader.required("document"))
     Value.Body = readDocument(*Body, "/document", Errors);
+  Reader.array(
+      "past", MaxPastOperations, [&](const json &Each, std::string At) {
+        Value.Past.push_back(readPastOperation(Each, std::move(At), Errors));
+      });
   Reader.finish();
   if (!Errors.empty())
     return Errors;
--- a/cyclamenwind/document/document.h
+++ b/cyclamenwind/document/document.h
@@ -29,6 +29,7 @@
 #include "cyclamenwind/base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -104,12 +105,32 @@
 // Canonical text: the same for equal documents.
 std::string formatDocument(const Document &Value);
 
+// An operation that an earlier version was accepted by.
+struct PastOperation {
+  uint64_t Version = 0;
+  std::string OperationId;
+
+  bool operator==(const PastOperation &) const = default;
+};
+
+// Past operations that an envelope remembers at most.
+constexpr size_t MaxPastOperations = 8;
+
 struct Envelope {
   uint64_t Version = 0;
   std::string OperationId;
   std::string Author;
   WallTime Written;
   Document Body;
+  // Of the versions before, newest first, so that the author of a version that
+  // was replaced before its acceptance was answered can be told of it.
+  std::vector<PastOperation> Past = {};
+
+  // Past as the next envelope has it.
+  std::vector<PastOperation> pastOfNext() const;
+
+  // The version that OperationId was accepted as, if it is remembered.
+  std::optional<uint64_t> versionOf(std::string_view Operation) const;
 };
 
 std::string formatEnvelope(const Envelope &Value);
--- a/cyclamenwind/operators/document_api.cpp
+++ b/cyclamenwind/operators/document_api.cpp
@@ -112,8 +112,9 @@
   recordPresent();
   Envelope Accepted = {Version, Wanted.OperationId, Wanted.Author, Wanted.Now,
                        Wanted.Body};
-  Trail->record(Wanted.OperationId,
-                auditEntryOf(Accepted, digestOf(formatEnvelope(Accepted))));
+  Trail->record(
+      Wanted.OperationId,
+      auditEntryOf(Accepted, digestOf(formatDocument(Accepted.Body))));
   replyJson(Received, 200, {{"version", Version}});
 }
 
@@ -148,7 +149,8 @@
   const SnapshotPtr &Current = Config->current();
   if (Current)
     Trail->record(Current->envelope().OperationId,
-                  auditEntryOf(Current->envelope(), Current->digest()));
+                  auditEntryOf(Current->envelope(),
+                               digestOf(formatDocument(Current->document()))));
 }
 
 void DocumentApi::diff(const ExchangePtr &Received) {
--- a/cyclamenwind/operators/document_api.h
+++ b/cyclamenwind/operators/document_api.h
@@ -22,7 +22,8 @@
 
 namespace cyclamenwind {
 
-// The audit entry of the document that was accepted in Accepted.
+// The audit entry of the document that was accepted in Accepted; Digest is that
+// of the document's canonical text.
 AuditEntry auditEntryOf(const Envelope &Accepted, uint64_t Digest);
 
 // A service named "document_api".
