--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -24,17 +24,28 @@
   // Streams.
   Hello = 1,
   Heartbeat = 2,
+  Goodbye = 3,
   // Calls.
   CallRequest = 10,
   CallReply = 11,
   CallCancel = 12,
   // Membership.
   Gossip = 20,
-  RosterSync = 21,
+  RosterPull = 21,
+  RosterRecords = 22,
+  Probe = 23,
+  ProbeAck = 24,
+  ProbeRequest = 25,
+  ProbeNack = 26,
   // Configuration.
   ConfigState = 30,
   ConfigPull = 31,
   ConfigSnapshot = 32,
+  // Version moves.
+  MoveDigest = 40,
+  MoveEntries = 41,
+  MoveEvidence = 42,
+  MoveStanding = 43,
 };
 
 // A body of the largest size with its headers.
