--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -74,6 +74,7 @@
               static_cast<size_t>(TheSettings.Traffic.ConnectionsPerServer)}),
       TheSettings.Traffic));
   Services.add(std::make_unique<CallerSide>(TheSettings));
+  Services.add(std::make_unique<RuntimeMetrics>());
   Services.add(std::make_unique<OperatorApi>(TheSettings));
   Services.add(std::make_unique<DocumentApi>(TheSettings.Member.FailureDomain));
   Services.add(std::make_unique<AuditApi>());
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -77,8 +77,9 @@
   Members = &Host.find<MembershipView>("membership");
   Local = &Host.find<Announcements>("announcements");
   Counters = &Host.find<Metrics>("metrics");
+  Gauges = &Host.find<RuntimeMetrics>("runtime_metrics");
   route("GET", "/metrics", [this](const ExchangePtr &Received) {
-    Counters->setConfigVersion(Config->version());
+    Gauges->refresh();
     Received->reply({200,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
                      Counters->text()});
--- a/cyclamenwind/operators/api.h
+++ b/cyclamenwind/operators/api.h
@@ -20,7 +20,7 @@
 #include "cyclamenwind/http/exchange.h"
 #include "cyclamenwind/membership/announcements.h"
 #include "cyclamenwind/membership/membership.h"
-#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/operators/runtime_metrics.h"
 
 #include <nlohmann/json.hpp>
 
@@ -73,6 +73,7 @@
   MembershipView *Members = nullptr;
   Announcements *Local = nullptr;
   Metrics *Counters = nullptr;
+  RuntimeMetrics *Gauges = nullptr;
   std::function<void()> Drain;
   bool Draining = false;
 };
--- /dev/null
+++ b/cyclamenwind/operators/runtime_metrics.h
@@ -0,0 +1,43 @@
+// RuntimeMetrics: gauges that are read from other services when /metrics is
+// asked for. docs/METRICS.md lists them.
+
+#ifndef CYCLAMENWIND_OPERATORS_RUNTIME_METRICS_H
+#define CYCLAMENWIND_OPERATORS_RUNTIME_METRICS_H
+
+#include "cyclamenwind/config/store.h"
+#include "cyclamenwind/membership/membership.h"
+#include "cyclamenwind/operators/audit_trail.h"
+#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/peer/transport.h"
+
+namespace cyclamenwind {
+
+// A service named "runtime_metrics".
+class RuntimeMetrics final : public Service {
+public:
+  std::string_view name() const override { return "runtime_metrics"; }
+  void start(Kernel &Host) override;
+
+  // Sets all gauges to what the services say now.
+  void refresh();
+
+private:
+  using Gauges = prometheus::Family<prometheus::Gauge>;
+
+  Gauges &family(const std::string &Name, const std::string &Help);
+
+  Metrics *Counters = nullptr;
+  ConfigStore *Config = nullptr;
+  MembershipView *Members = nullptr;
+  PeerTransport *Peers = nullptr;
+  AuditTrail *Trail = nullptr;
+  Gauges *PeerBytes = nullptr;
+  Gauges *PeerFrames = nullptr;
+  Gauges *MembersByState = nullptr;
+  prometheus::Gauge *AuditPending = nullptr;
+  prometheus::Gauge *AuditDropped = nullptr;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- a/tests/operators_api_test.cpp
+++ b/tests/operators_api_test.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/config/watcher.h"
+#include "cyclamenwind/config/platform_feed.h"
 #include "cyclamenwind/operators/access.h"
 #include "cyclamenwind/operators/audit_api.h"
 #include "cyclamenwind/operators/explain.h"
@@ -32,6 +32,23 @@
   HttpResponse &Answer;
 };
 
+// Puts the platform's document in force.
+class DocumentFeed final : public Service {
+public:
+  std::string_view name() const override { return "document_feed"; }
+  void start(Kernel &Host) override {
+    auto &Store = Host.find<ConfigStore>("config");
+    Feed = std::make_unique<PlatformFeed>(Host.find<PlatformClient>("platform"),
+                                          Host.scheduler(), Host.random());
+    Feed->onText([&Store](const std::string &Text) { Store.apply(Text); });
+    Feed->start();
+  }
+  void stop() override { Feed.reset(); }
+
+private:
+  std::unique_ptr<PlatformFeed> Feed;
+};
+
 std::string document(int DeadlineMs) {
   return R"({"services": [{"name": "quote", "version": "v1"}],
              "routes": [{"name": "submit", "service": "quote",
@@ -63,11 +80,12 @@
     Services.add(std::make_unique<Metrics>());
     Services.add(std::make_unique<AuditTrail>());
     Services.add(std::make_unique<ConfigStore>());
-    Services.add(std::make_unique<PlatformWatcher>());
+    Services.add(std::make_unique<DocumentFeed>());
     Services.add(std::make_unique<Acceptance>());
     Services.add(std::make_unique<Announcements>(3s));
     Services.add(std::make_unique<Membership>(TheSettings, 1));
     Services.add(std::make_unique<AcceptedVersions>());
+    Services.add(std::make_unique<RuntimeMetrics>());
     Services.add(std::make_unique<OperatorApi>(TheSettings));
     Services.add(std::make_unique<DocumentApi>("midrand-a"));
     Services.add(std::make_unique<AuditApi>());
@@ -165,6 +183,17 @@
     CHECK(Daemon.send("GET", Target).Body.find(Token) == std::string::npos);
 }
 
+TEST_CASE("metrics tell the version, the members and the audit trail") {
+  OneDaemon Daemon;
+  Daemon.write("/api/document?author=anna", document(500));
+  std::string Text = Daemon.send("GET", "/metrics").Body;
+  for (const char *Line :
+       {"cyclamenwind_config_version 1", "cyclamenwind_audit_dropped 0",
+        "cyclamenwind_audit_pending 0",
+        "cyclamenwind_members{state=\"alive\"} 1"})
+    CHECK(Text.find(Line) != std::string::npos);
+}
+
 TEST_CASE("an accepted document leaves one audit entry with its digest") {
   OneDaemon Daemon;
   Daemon.Shared.LoseAnswers = 2;
