--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -112,9 +112,12 @@
 
 void Daemon::start() {
   Services.start();
-  Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
-  Services.find<OperatorApi>("operators").addStatus("moves", [this] {
-    return Services.find<MoveService>("versions").status();
+  auto &Operators = Services.find<OperatorApi>("operators");
+  auto &Moves = Services.find<MoveService>("versions");
+  Operators.onDrain([this] { shutdown(); });
+  Operators.addStatus("moves", [&Moves] { return Moves.status(); });
+  Operators.route("GET", "/api/moves", [&Moves](const ExchangePtr &Received) {
+    replyJson(Received, 200, Moves.status());
   });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
--- /dev/null
+++ b/scripts/lib/bench_lines.py
@@ -0,0 +1,12 @@
+"""The lines that benches print: bench=B figure=F value=V unit=U [bound= ok=]."""
+
+
+def parse(text):
+    """Figures by (bench, figure), each a dict of its fields."""
+    figures = {}
+    for line in text.splitlines():
+        fields = dict(part.split("=", 1) for part in line.split()
+                      if "=" in part)
+        if "bench" in fields and "figure" in fields and "value" in fields:
+            figures[fields["bench"], fields["figure"]] = fields
+    return figures
--- /dev/null
+++ b/scripts/lib/compare.py
@@ -0,0 +1,82 @@
+"""Runs benches on this tree and on an earlier commit and prints the ratios.
+
+compare.py REV NAME...
+"""
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import bench_lines
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+class CompareError(Exception):
+    """A step without which there is nothing to compare."""
+
+
+def run(command, folder):
+    done = subprocess.run(command, cwd=folder, capture_output=True, text=True)
+    if done.returncode != 0:
+        raise CompareError(f"{' '.join(map(str, command))} in {folder} ended "
+                           f"with status {done.returncode}:\n{done.stderr}")
+    return done.stdout
+
+
+def bench(folder, name):
+    """Figures of a bench; nothing if the tree has no such bench. A bound that
+    is passed does not matter here."""
+    commands = [[folder / "build" / f"{name}_bench"],
+                [sys.executable, folder / "scripts/lib" / f"{name}_bench.py"]]
+    figures = {}
+    for command in commands:
+        if command[-1].exists():
+            done = subprocess.run(command, cwd=folder, capture_output=True,
+                                  text=True)
+            figures |= bench_lines.parse(done.stdout)
+    return figures
+
+
+def compared(name, earlier, present):
+    for key in sorted(earlier.keys() | present.keys()):
+        old, new = earlier.get(key), present.get(key)
+        if old is None or new is None:
+            print(f"bench={name} figure={key[1]} only="
+                  f"{'present' if old is None else 'earlier'}")
+            continue
+        before, now = float(old["value"]), float(new["value"])
+        ratio = f"{now / before:.3f}" if before else "none"
+        print(f"bench={name} figure={key[1]} before={before:.6g} "
+              f"now={now:.6g} unit={new['unit']} ratio={ratio}", flush=True)
+
+
+def compare(revision, names):
+    commit = run(["git", "rev-parse", "--verify", f"{revision}^{{commit}}"],
+                 ROOT).strip()
+    with tempfile.TemporaryDirectory(prefix="compare-") as folder:
+        tree = pathlib.Path(folder) / "tree"
+        run(["git", "worktree", "add", "--detach", str(tree), commit], ROOT)
+        try:
+            run(["scripts/build", "build"], tree)
+            print(f"compare: now against {commit[:12]}", flush=True)
+            for name in names:
+                compared(name, bench(tree, name), bench(ROOT, name))
+        finally:
+            run(["git", "worktree", "remove", "--force", str(tree)], ROOT)
+
+
+def main():
+    if len(sys.argv) < 3:
+        print("usage: scripts/bench --compare REV [NAME...]", file=sys.stderr)
+        return 2
+    try:
+        compare(sys.argv[1], sys.argv[2:])
+    except CompareError as error:
+        print(f"compare: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
