--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -76,6 +76,7 @@
               static_cast<size_t>(TheSettings.Traffic.ConnectionsPerServer)}),
       TheSettings.Traffic));
   Services.add(std::make_unique<CallerSide>(TheSettings));
+  Services.add(std::make_unique<RuntimeMetrics>());
   Services.add(std::make_unique<OperatorApi>(TheSettings));
   Services.add(std::make_unique<DocumentApi>(TheSettings.Member.FailureDomain));
   Services.add(std::make_unique<AuditApi>());
@@ -113,9 +114,12 @@
 
 void Daemon::start() {
   Services.start();
-  Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
-  Services.find<OperatorApi>("operators").addStatus("moves", [this] {
-    return Services.find<MoveService>("versions").status();
+  auto &Operators = Services.find<OperatorApi>("operators");
+  auto &Moves = Services.find<MoveService>("versions");
+  Operators.onDrain([this] { shutdown(); });
+  Operators.addStatus("moves", [&Moves] { return Moves.status(); });
+  Operators.route("GET", "/api/moves", [&Moves](const ExchangePtr &Received) {
+    replyJson(Received, 200, Moves.status());
   });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
