--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -24,19 +24,30 @@
   // Streams.
   Hello = 1,
   Heartbeat = 2,
+  Goodbye = 3,
   // Calls.
   CallRequest = 10,
   CallReply = 11,
   CallCancel = 12,
   // Membership.
   Gossip = 20,
-  RosterSync = 21,
+  RosterPull = 21,
+  RosterRecords = 22,
+  Probe = 23,
+  ProbeAck = 24,
+  ProbeRequest = 25,
+  ProbeNack = 26,
   // Configuration.
   ConfigSubscribe = 30,
   ConfigState = 31,
   ConfigDelta = 32,
   ConfigSnapshot = 33,
   ConfigStanding = 34,
+  // Version moves.
+  MoveDigest = 40,
+  MoveEntries = 41,
+  MoveEvidence = 42,
+  MoveStanding = 43,
 };
 
 // A body of the largest size with its headers.
