Where a version stands, summed by relays; out of the member records

Cause: every change of the configuration made every member gossip a record. Change: /status has standing (sums by failure domain with unknown, rejecting and laggards), distribution and control; the members' records and their gossip no longer carry a configuration version.

--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/config/acceptance.h"
 #include "cyclamenwind/config/distribution.h"
+#include "cyclamenwind/config/status.h"
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/membership/membership.h"
 #include "cyclamenwind/moves/service.h"
@@ -111,6 +112,7 @@
 
 void Daemon::start() {
   Services.start();
+  showDistribution();
   Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
   Services.find<OperatorApi>("operators").addStatus("moves", [this] {
     return Services.find<MoveService>("versions").status();
@@ -122,6 +124,21 @@
            {"failure_domain", TheSettings.Member.FailureDomain}});
 }
 
+void Daemon::showDistribution() {
+  auto &Shown = Services.find<Distribution>("config_distribution");
+  auto &Members = Services.find<MembershipView>("membership");
+  auto &Operators = Services.find<OperatorApi>("operators");
+  Operators.addStatus("standing", [this, &Shown, &Members] {
+    return standingJson(Shown, Members.roster(), TheLoop.now());
+  });
+  Operators.addStatus("distribution", [this, &Shown] {
+    return distributionJson(Shown, TheLoop.now());
+  });
+  Operators.addStatus("control", [this] {
+    return controlJson(Services.find<PeerTransport>("peers"));
+  });
+}
+
 void Daemon::shutdown() {
   if (Draining) {
     logWarning("daemon_stopped", {{"cause", "second request"}});
--- a/cyclamenwind/daemon/daemon.h
+++ b/cyclamenwind/daemon/daemon.h
@@ -46,6 +46,7 @@
 
   Result<void, DaemonError> bind();
   void addServices();
+  void showDistribution();
   void checkDrained();
 
   Loop &TheLoop;
--- a/cyclamenwind/membership/codec.cpp
+++ b/cyclamenwind/membership/codec.cpp
@@ -55,7 +55,6 @@
   Result.failureDomain = Record.FailureDomain;
   for (const Offer &Each : Record.Offers)
     Result.offers.push_back(offerToWire(Each));
-  Result.configVersion = static_cast<int64_t>(Record.ConfigVersion);
   return Result;
 }
 
@@ -76,7 +75,6 @@
   for (const wire::Offer &Each : Record.offers)
     Result.Offers.push_back(
         {Each.serviceName, Each.serverVersion, Each.slots, Each.draining});
-  Result.ConfigVersion = static_cast<uint64_t>(Record.configVersion);
   return Result;
 }
 
--- a/cyclamenwind/membership/membership.cpp
+++ b/cyclamenwind/membership/membership.cpp
@@ -36,7 +36,6 @@
 void Membership::start(Kernel &Host) {
   Platform = &Host.find<PlatformClient>("platform");
   Peers = &Host.find<PeerTransport>("peers");
-  Config = &Host.find<ConfigStore>("config");
   Local = &Host.find<Announcements>("announcements");
   Time = &Host.clock();
   Dice = &Host.random();
@@ -51,7 +50,6 @@
                     post(Protocol->receive(From, Type, Payload, Time->now()));
                   });
   Local->onChange([this] { publishSelf(); });
-  Config->onChange([this](const SnapshotPtr &) { publishSelf(); });
   publishSelf();
   TickTimer = Timers->every(MemberTickPeriod,
                             [this] { post(Protocol->tick(Time->now())); });
@@ -76,7 +74,7 @@
   std::vector<Offer> Offers;
   for (const BackendServer &Each : Local->servers())
     Offers.push_back({Each.Service, Each.Version, Each.Slots, Each.Draining});
-  post(Protocol->publish(std::move(Offers), Config->version(), Time->now()));
+  post(Protocol->publish(std::move(Offers), Time->now()));
 }
 
 void Membership::post(const Outbox &Messages) {
--- a/cyclamenwind/membership/membership.h
+++ b/cyclamenwind/membership/membership.h
@@ -11,7 +11,6 @@
 
 #include "cyclamenwind/base/kernel.h"
 #include "cyclamenwind/base/settings.h"
-#include "cyclamenwind/config/store.h"
 #include "cyclamenwind/membership/announcements.h"
 #include "cyclamenwind/membership/protocol.h"
 #include "cyclamenwind/peer/transport.h"
@@ -62,7 +61,6 @@
   std::unique_ptr<MemberProtocol> Protocol;
   PlatformClient *Platform = nullptr;
   PeerTransport *Peers = nullptr;
-  ConfigStore *Config = nullptr;
   Announcements *Local = nullptr;
   Clock *Time = nullptr;
   Random *Dice = nullptr;
--- a/cyclamenwind/membership/protocol.cpp
+++ b/cyclamenwind/membership/protocol.cpp
@@ -107,12 +107,10 @@
   return taken();
 }
 
-Outbox MemberProtocol::publish(std::vector<Offer> Offers,
-                               uint64_t ConfigVersion, TimePoint Now) {
+Outbox MemberProtocol::publish(std::vector<Offer> Offers, TimePoint Now) {
   bool Removal = endsUse(Self, Offers);
   bool Changed = Offers != Self.Offers;
   Self.Offers = std::move(Offers);
-  Self.ConfigVersion = ConfigVersion;
   publishSelf(Removal ? RemovalFanout : (Changed ? ChangeFanout : 0), Now);
   return taken();
 }
--- a/cyclamenwind/membership/protocol.h
+++ b/cyclamenwind/membership/protocol.h
@@ -65,8 +65,7 @@
                  TimePoint Now);
 
   // This member's own record has changed; others are told at once.
-  Outbox publish(std::vector<Offer> Offers, uint64_t ConfigVersion,
-                 TimePoint Now);
+  Outbox publish(std::vector<Offer> Offers, TimePoint Now);
 
   // This member takes no more calls; others are told at once.
   Outbox leave(TimePoint Now);
--- a/cyclamenwind/membership/roster.h
+++ b/cyclamenwind/membership/roster.h
@@ -44,7 +44,6 @@
   Address Peer;
   std::string FailureDomain;
   std::vector<Offer> Offers;
-  uint64_t ConfigVersion = 0;
 
   bool operator==(const Member &) const = default;
 
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -22,7 +22,6 @@
           {"state", nameOf(Record.State)},
           {"failure_domain", Record.FailureDomain},
           {"peer", Record.Peer.text()},
-          {"config_version", Record.ConfigVersion},
           {"servers", Offers}};
 }
 
--- a/cyclamenwind/wire/gen-cpp/membership_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/membership_types.cpp
@@ -245,10 +245,6 @@
 void MemberRecord::__set_offers(const std::vector<Offer> & val) {
   this->offers = val;
 }
-
-void MemberRecord::__set_configVersion(const int64_t val) {
-  this->configVersion = val;
-}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -347,14 +343,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->configVersion);
-          this->__isset.configVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -408,10 +396,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->configVersion);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -426,7 +410,6 @@
   swap(a.peerAddress, b.peerAddress);
   swap(a.failureDomain, b.failureDomain);
   swap(a.offers, b.offers);
-  swap(a.configVersion, b.configVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -438,7 +421,6 @@
   peerAddress = other11.peerAddress;
   failureDomain = other11.failureDomain;
   offers = other11.offers;
-  configVersion = other11.configVersion;
   __isset = other11.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other12) noexcept {
@@ -449,7 +431,6 @@
   peerAddress = std::move(other12.peerAddress);
   failureDomain = std::move(other12.failureDomain);
   offers = std::move(other12.offers);
-  configVersion = other12.configVersion;
   __isset = other12.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other13) {
@@ -460,7 +441,6 @@
   peerAddress = other13.peerAddress;
   failureDomain = other13.failureDomain;
   offers = other13.offers;
-  configVersion = other13.configVersion;
   __isset = other13.__isset;
   return *this;
 }
@@ -472,7 +452,6 @@
   peerAddress = std::move(other14.peerAddress);
   failureDomain = std::move(other14.failureDomain);
   offers = std::move(other14.offers);
-  configVersion = other14.configVersion;
   __isset = other14.__isset;
   return *this;
 }
@@ -486,7 +465,6 @@
   out << ", " << "peerAddress=" << to_string(peerAddress);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "offers=" << to_string(offers);
-  out << ", " << "configVersion=" << to_string(configVersion);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/membership_types.h
+++ b/cyclamenwind/wire/gen-cpp/membership_types.h
@@ -121,7 +121,7 @@
 std::ostream& operator<<(std::ostream& out, const Offer& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : id(false), incarnation(false), revision(false), state(false), peerAddress(false), failureDomain(false), offers(false), configVersion(false) {}
+  _MemberRecord__isset() : id(false), incarnation(false), revision(false), state(false), peerAddress(false), failureDomain(false), offers(false) {}
   bool id :1;
   bool incarnation :1;
   bool revision :1;
@@ -129,7 +129,6 @@
   bool peerAddress :1;
   bool failureDomain :1;
   bool offers :1;
-  bool configVersion :1;
 } _MemberRecord__isset;
 
 class MemberRecord : public virtual ::apache::thrift::TBase {
@@ -145,8 +144,7 @@
                  revision(0),
                  state(static_cast<MemberState::type>(0)),
                  peerAddress(),
-                 failureDomain(),
-                 configVersion(0) {
+                 failureDomain() {
   }
 
   virtual ~MemberRecord() noexcept;
@@ -161,7 +159,6 @@
   std::string peerAddress;
   std::string failureDomain;
   std::vector<Offer>  offers;
-  int64_t configVersion;
 
   _MemberRecord__isset __isset;
 
@@ -179,8 +176,6 @@
 
   void __set_offers(const std::vector<Offer> & val);
 
-  void __set_configVersion(const int64_t val);
-
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -197,8 +192,6 @@
       return false;
     if (!(offers == rhs.offers))
       return false;
-    if (!(configVersion == rhs.configVersion))
-      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
--- a/cyclamenwind/wire/membership.thrift
+++ b/cyclamenwind/wire/membership.thrift
@@ -26,8 +26,6 @@
   5: string peerAddress
   6: string failureDomain
   7: list<Offer> offers
-  // Configuration version in force at the member; 0: none.
-  8: i64 configVersion
 }
 
 // Recent changes, passed on by the receiver.
--- a/testing/member_fleet.cpp
+++ b/testing/member_fleet.cpp
@@ -51,8 +51,8 @@
         Type, [this, I, Type](const Address &From, std::string_view Payload) {
           post(I, Nodes[I].Protocol->receive(From, Type, Payload, Time.now()));
         });
-  post(I, Made.Protocol->publish({{serviceOf(I), "v1", 10, false}}, 1,
-                                 Time.now()));
+  post(I,
+       Made.Protocol->publish({{serviceOf(I), "v1", 10, false}}, Time.now()));
 }
 
 void MemberFleet::scheduleTicks(size_t I) {
