--- a/cyclamenwind/daemon/daemon.h
+++ b/cyclamenwind/daemon/daemon.h
@@ -48,6 +48,7 @@
 
   Result<void, DaemonError> bind();
   void addServices();
+  void showDistribution();
   void checkDrained();
   size_t unfinished();
   void beginClosing();
