--- a/cyclamenwind/config/acceptance.cpp
+++ b/cyclamenwind/config/acceptance.cpp
@@ -91,7 +91,7 @@
   Platform->write(DocumentKey, Text, ObjectVersion,
                   [this, Current = std::move(Current), Done = std::move(Done)](
                       Result<uint64_t, PlatformError> Outcome) {
-                    written(Current, std::move(Outcome), Done);
+                    written(Current, Outcome, Done);
                   });
 }
 
