--- a/cyclamenwind/moves/decider.cpp
+++ b/cyclamenwind/moves/decider.cpp
@@ -25,6 +25,8 @@
 // The larger increase of errors that the test is built on, as a multiple of the
 // least one that is looked for.
 constexpr double LargeErrorFactor = 6;
+// Looks at an estimate that grows are alike; they count as this many.
+constexpr double IndependentLooks = 5;
 constexpr double MinRate = 0.01;
 constexpr double MaxRate = 0.97;
 // One test of errors and one of latency for each route and for the service.
@@ -92,8 +94,9 @@
 
 Decider::Decider(const MoveSpec &Spec, std::vector<RouteSpec> Routes,
                  WallTime Begun)
-    : Spec(Spec), RouteSpecs(std::move(Routes)), Begun(Begun),
-      LastJudged(Begun) {}
+    : Spec(Spec), MissDeviations(normalQuantile(Spec.MissRate)),
+      LookDeviations(normalQuantile(Spec.MissRate / IndependentLooks)),
+      RouteSpecs(std::move(Routes)), Begun(Begun), LastJudged(Begun) {}
 
 void Decider::add(const Evidence &Added) {
   for (const auto &[Key, Counts] : Added) {
@@ -239,7 +242,7 @@
   Question.LogThreshold =
       logThreshold() - std::log(SequentialTest::WeightAtStart /
                                 SequentialTest::AlternativeCount);
-  Question.MissRate = Spec.MissRate;
+  Question.MissDeviations = MissDeviations;
   // One server may be left out.
   double Count = static_cast<double>(Servers.size());
   double LeftOut = Count > 1 ? Count / (Count - 1) : 1;
@@ -278,7 +281,7 @@
   if (Step.Share > SmallShare &&
       static_cast<double>(CallsInStep) <
           neededCalls(serviceErrorRate(), Step.Share) &&
-      !ErrorDifferenceInStep.below(Spec.MaxErrorIncrease, Spec.MissRate))
+      !ErrorDifferenceInStep.below(Spec.MaxErrorIncrease, LookDeviations))
     return false;
   for (const RouteSpec &Route : RouteSpecs) {
     double Share = Route.Repeatable ? Step.Share : Step.NonRepeatableShare;
@@ -289,7 +292,7 @@
     if (static_cast<double>(State->second.NewCalls) <
             neededCalls(Route.Name, SmallShare) &&
         !State->second.ErrorDifference.below(Spec.MaxErrorIncrease,
-                                             Spec.MissRate))
+                                             LookDeviations))
       return false;
   }
   return true;
--- a/cyclamenwind/moves/decider.h
+++ b/cyclamenwind/moves/decider.h
@@ -129,6 +129,8 @@
              const std::string &Where);
 
   MoveSpec Spec;
+  double MissDeviations;
+  double LookDeviations; // As above, for repeated looks.
   std::vector<RouteSpec> RouteSpecs;
   WallTime Begun;
   WallTime LastJudged;
--- a/cyclamenwind/moves/difference.h
+++ b/cyclamenwind/moves/difference.h
@@ -17,9 +17,9 @@
 public:
   void add(const SideBlock &New, const SideBlock &Old);
 
-  // Whether a difference of Limit would have shown as more than what was seen,
-  // but for a probability of MissRate over repeated looks.
-  bool below(double Limit, double MissRate) const;
+  // Whether the upper bound, Deviations standard deviations above the estimate,
+  // lies below Limit.
+  bool below(double Limit, double Deviations) const;
 
 private:
   double Weight = 0;
--- a/cyclamenwind/moves/plan.cpp
+++ b/cyclamenwind/moves/plan.cpp
@@ -16,6 +16,10 @@
 constexpr Level Levels[] = {
     {0.01, 0.05}, {SmallShare, 0.5}, {0.2, 0.15}, {0.5, 0.15}, {0.75, 0.15}};
 
+// Part of the time, relative to the steps' weights, that is kept free at the end
+// for outages and lost leases.
+constexpr double ReserveWeight = 0.1;
+
 } // namespace
 
 MoveSteps planSteps(bool HasRepeatable, bool HasNonRepeatable) {
@@ -50,11 +54,9 @@
 
 Duration plannedHold(const MoveSteps &Steps, size_t Index, WallTime Entered,
                      WallTime DoneBy) {
-  double Later = 0;
+  double Later = ReserveWeight;
   for (size_t I = Index; I < Steps.size(); ++I)
     Later += Steps[I].Weight;
-  if (Later <= 0)
-    return MinStepHold;
   Duration Left = std::chrono::duration_cast<Duration>(DoneBy - Entered) -
                   SetTimeMargin - MinStepHold;
   double Part = Steps[Index].Weight / Later;
--- a/cyclamenwind/moves/power.cpp
+++ b/cyclamenwind/moves/power.cpp
@@ -45,7 +45,7 @@
   Moments Old = momentsOf(Question.OldRate, Common);
   double Mean = New.Mean + OldPerNew * Old.Mean;
   double Deviation = std::sqrt(New.Variance + OldPerNew * Old.Variance);
-  double Spread = normalQuantile(Question.MissRate) * Deviation;
+  double Spread = Question.MissDeviations * Deviation;
   double Root =
       (Spread + std::sqrt(Spread * Spread + 4 * Mean * Question.LogThreshold)) /
       (2 * Mean);
--- a/cyclamenwind/moves/power.h
+++ b/cyclamenwind/moves/power.h
@@ -7,15 +7,15 @@
 
 // A comparison of the new version's calls with the old version's.
 struct PowerQuestion {
-  double Share = 0;        // Of calls that go to the new version.
-  double OldRate = 0;      // Of errors on the old version.
-  double Increase = 0;     // Of the error rate, that is to be found.
-  double LogThreshold = 0; // Of the sequential test.
-  double MissRate = 0;
+  double Share = 0;          // Of calls that go to the new version.
+  double OldRate = 0;        // Of errors on the old version.
+  double Increase = 0;       // Of the error rate, that is to be found.
+  double LogThreshold = 0;   // Of the sequential test.
+  double MissDeviations = 0; // normalQuantile() of the miss rate.
 };
 
 // Calls on the new version after which a fault of the given size has been found
-// with probability 1 - MissRate (normal approximation of the log likelihood).
+// but for the miss rate (normal approximation of the log likelihood).
 double requiredCalls(const PowerQuestion &Question);
 
 // The value that a standard normal variable exceeds with Probability, which is
