--- a/cyclamenwind/document/document.h
+++ b/cyclamenwind/document/document.h
@@ -29,6 +29,7 @@
 #include "cyclamenwind/base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,14 @@
 
 std::string_view nameOf(Priority Value);
 
+// What happens to a request that comes again with the same Idempotency-Key.
+enum class ResubmissionRule {
+  Forward, // It is a request like any other.
+  Claim,   // It is not run again; see traffic/claims.h.
+};
+
+std::string_view nameOf(ResubmissionRule Value);
+
 struct ServiceSpec {
   std::string Name;
   // Version of the backend servers that receive calls outside of a move.
@@ -60,6 +69,7 @@
   // Whether a call may run more than once.
   bool Repeatable = false;
   Priority Urgency = Priority::Normal;
+  ResubmissionRule Resubmission = ResubmissionRule::Forward;
 
   bool operator==(const RouteSpec &) const = default;
 };
@@ -122,12 +132,32 @@
 // Canonical text: the same for equal documents.
 std::string formatDocument(const Document &Value);
 
+// An operation that an earlier version was accepted by.
+struct PastOperation {
+  uint64_t Version = 0;
+  std::string OperationId;
+
+  bool operator==(const PastOperation &) const = default;
+};
+
+// Past operations that an envelope remembers at most.
+constexpr size_t MaxPastOperations = 8;
+
 struct Envelope {
   uint64_t Version = 0;
   std::string OperationId;
   std::string Author;
   WallTime Written;
   Document Body;
+  // Of the versions before, newest first, so that the author of a version that
+  // was replaced before its acceptance was answered can be told of it.
+  std::vector<PastOperation> Past = {};
+
+  // Past as the next envelope has it.
+  std::vector<PastOperation> pastOfNext() const;
+
+  // The version that OperationId was accepted as, if it is remembered.
+  std::optional<uint64_t> versionOf(std::string_view Operation) const;
 };
 
 std::string formatEnvelope(const Envelope &Value);
--- a/cyclamenwind/membership/codec.cpp
+++ b/cyclamenwind/membership/codec.cpp
@@ -3,6 +3,9 @@
 namespace cyclamenwind {
 namespace {
 
+// Incarnations and revisions are below this, so that one can be added.
+constexpr int64_t MaxCounter = int64_t(1) << 62;
+
 wire::MemberState::type stateToWire(MemberState State) {
   switch (State) {
   case MemberState::Alive:
@@ -48,30 +51,34 @@
   Result.incarnation = Record.Incarnation;
   Result.revision = Record.Revision;
   Result.state = stateToWire(Record.State);
+  if (Record.State != MemberState::Alive)
+    return Result;
   Result.peerAddress = Record.Peer.text();
   Result.failureDomain = Record.FailureDomain;
   for (const Offer &Each : Record.Offers)
     Result.offers.push_back(offerToWire(Each));
-  Result.configVersion = static_cast<int64_t>(Record.ConfigVersion);
   return Result;
 }
 
 std::optional<Member> fromWire(const wire::MemberRecord &Record) {
-  std::optional<Address> Peer = parseAddress(Record.peerAddress);
   std::optional<MemberState> State = stateFromWire(Record.state);
-  if (!Peer || !State || Record.id.empty())
+  bool InRange = Record.incarnation >= 0 && Record.incarnation < MaxCounter &&
+                 Record.revision >= 0 && Record.revision < MaxCounter;
+  if (!State || !InRange || Record.id.empty())
+    return std::nullopt;
+  std::optional<Address> Peer = parseAddress(Record.peerAddress);
+  if (!Peer && *State == MemberState::Alive)
     return std::nullopt;
   Member Result;
   Result.Id = Record.id;
   Result.Incarnation = Record.incarnation;
   Result.Revision = Record.revision;
   Result.State = *State;
-  Result.Peer = *Peer;
+  Result.Peer = Peer.value_or(Address());
   Result.FailureDomain = Record.failureDomain;
   for (const wire::Offer &Each : Record.offers)
     Result.Offers.push_back(
         {Each.serviceName, Each.serverVersion, Each.slots, Each.draining});
-  Result.ConfigVersion = static_cast<uint64_t>(Record.configVersion);
   return Result;
 }
 
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -42,8 +42,17 @@
   TimePoint created() const { return Created; }
   bool connected() const { return Connected; }
 
+  // Whether this side opened the stream.
+  bool outgoing() const { return Outgoing; }
+
   // The peer's listening address; unset on an accepted link before its Hello.
   std::optional<Address> Peer;
+  // The peer's process; 0 before its Hello.
+  int64_t PeerInstance = 0;
+
+  // Steps of closing by agreement.
+  enum class Farewell { None, Said, Answered };
+  Farewell Leaving = Farewell::None;
 
 private:
   void open(evutil_socket_t Descriptor);
@@ -64,6 +73,7 @@
   evbuffer *Output = nullptr;
   std::string Partial; // Octets of a frame that has not come whole.
   bool Connected = false;
+  bool Outgoing = false;
   bool Failed = false;
   TimePoint Created;
   TimePoint LastHeard;
--- a/cyclamenwind/traffic/caller_side.cpp
+++ b/cyclamenwind/traffic/caller_side.cpp
@@ -9,12 +9,20 @@
 namespace cyclamenwind {
 namespace {
 
-constexpr int MaxAttempts = 4;
-constexpr int MaxUnknownAttempts = 2;
+// Ids between daemons hold a call's id and the number of the attempt.
+constexpr uint64_t AttemptsPerId = 8;
+static_assert(RetryPolicy::MaxAttempts < static_cast<int>(AttemptsPerId));
+// Leaves room for AttemptsPerId and for the calls of a process.
+constexpr uint64_t IdStartLimit = uint64_t(1) << 58;
 // How long the caller's side waits past the deadline for the other side's word
 // on whether the request was run.
 constexpr Duration ReplyGrace = 50ms;
 
+int64_t attemptId(uint64_t Id, int Attempt) {
+  return static_cast<int64_t>(Id * AttemptsPerId +
+                              static_cast<uint64_t>(Attempt));
+}
+
 CallEnd endOf(wire::CallEnd::type End) {
   switch (End) {
   case wire::CallEnd::ANSWERED:
@@ -81,7 +89,7 @@
 } // namespace
 
 CallerSide::CallerSide(const Settings &TheSettings)
-    : Self(TheSettings.Addresses.Peers),
+    : Self(TheSettings.Addresses.Peers), MemberId(TheSettings.Member.Id),
       FailureDomain(TheSettings.Member.FailureDomain) {}
 
 void CallerSide::start(Kernel &Host) {
@@ -94,7 +102,9 @@
   Versions = &Host.find<VersionChooser>("versions");
   Counters = &Host.find<Metrics>("metrics");
   Dice = &Host.random();
-  Balance = std::make_unique<Balancer>(FailureDomain, *Dice);
+  NextId = 1 + Dice->below(IdStartLimit);
+  KeyClaims = std::make_unique<Claims>(Host.find<PlatformClient>("platform"));
+  Balance = std::make_unique<Balancer>(Self.text(), FailureDomain, *Dice);
   Peers->handle(FrameType::CallReply,
                 [this](const Address &From, std::string_view Payload) {
                   receiveReply(From, Payload);
@@ -135,7 +145,6 @@
           findHeader(Request.Headers, IdempotencyKeyHeader))
     Added.Request.idempotencyKey = *Once;
   HttpRequest Taken = Received->takeRequest();
-  Added.Request.id = static_cast<int64_t>(Id);
   Added.Request.serviceName = Route->Service;
   Added.Request.route = Route->Name;
   Added.Request.method = std::move(Taken.Method);
@@ -147,9 +156,56 @@
   Added.Timeout =
       Timers->after(*Deadline + ReplyGrace, [this, Id] { timedOut(Id); });
   Received->onPeerGone([this, Id] { callerLeft(Id); });
+  bool Claimed = Route->Resubmission == ResubmissionRule::Claim &&
+                 !Added.Request.idempotencyKey.empty();
+  if (Claimed)
+    claim(Id);
+  else
+    begin(Id);
+}
+
+void CallerSide::begin(uint64_t Id) {
+  Retries.firstAttempt();
   attempt(Id);
 }
 
+// Makes the claim on the call's idempotency key before anything is sent.
+void CallerSide::claim(uint64_t Id) {
+  Claim Wanted = Claims::claimFor(Calls.at(Id).Request, MemberId,
+                                  static_cast<int64_t>(Dice->next()));
+  KeyClaims->make(Wanted, [this, Id](const ClaimOutcome &Outcome) {
+    claimed(Id, Outcome);
+  });
+}
+
+void CallerSide::claimed(uint64_t Id, const ClaimOutcome &Outcome) {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end()) {
+    // The call ended meanwhile, and was not run.
+    if (Outcome.Verdict == ClaimVerdict::Granted)
+      KeyClaims->release(Outcome.Held, [] {});
+    return;
+  }
+  switch (Outcome.Verdict) {
+  case ClaimVerdict::Granted:
+    Found->second.Held = Outcome.Held;
+    begin(Id);
+    break;
+  case ClaimVerdict::Taken:
+    if (Outcome.Answer)
+      answer(Id, *Outcome.Answer, /*Replayed=*/true);
+    else
+      end(Id, CallEnd::Unknown, CallReason::AlreadyClaimed);
+    break;
+  case ClaimVerdict::Mismatch:
+    end(Id, CallEnd::Refused, CallReason::KeyMismatch);
+    break;
+  case ClaimVerdict::Unavailable:
+    end(Id, CallEnd::Refused, CallReason::NoClaim);
+    break;
+  }
+}
+
 void CallerSide::refuseAtOnce(const ExchangePtr &Received, CallReason Reason) {
   Counters->countCall("", CallEnd::Refused, Reason);
   HttpResponse Response = failureResponse(CallEnd::Refused, Reason);
@@ -164,8 +220,9 @@
   Current.Version =
       Versions->versionFor(*Current.Target, *Current.Route, Current.CallerHash,
                            /*PreferOld=*/Current.Attempts > 0, Now);
-  const Endpoint *Chosen = Balance->choose(
-      Members->endpoints(Current.Target->Name), Current.Version, Current.Tried);
+  const Endpoint *Chosen =
+      Balance->choose(Members->endpoints(Current.Target->Name), Current.Version,
+                      Current.Tried, Now);
   if (Chosen == nullptr) {
     CallEnd End =
         Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
@@ -173,6 +230,8 @@
     return;
   }
   ++Current.Attempts;
+  Current.Delivered = false;
+  Current.Request.id = attemptId(Id, Current.Attempts);
   Current.Tried.insert(Chosen->MemberId);
   Current.MemberId = Chosen->MemberId;
   Current.Peer = Chosen->Peer;
@@ -203,9 +262,10 @@
       decodeMessage<wire::CallReply>(Payload);
   if (!Reply)
     return;
-  uint64_t Id = static_cast<uint64_t>(Reply.value().id);
+  uint64_t Id = static_cast<uint64_t>(Reply.value().id) / AttemptsPerId;
   auto Found = Calls.find(Id);
-  if (Found == Calls.end() || Found->second.Peer != From) {
+  if (Found == Calls.end() || Found->second.Peer != From ||
+      attemptId(Id, Found->second.Attempts) != Reply.value().id) {
     Counters->countLateReply();
     return;
   }
@@ -214,38 +274,50 @@
 
 void CallerSide::linkDown(const Address &Peer, LinkEnd End) {
   std::vector<uint64_t> Affected;
-  for (const auto &[Id, Each] : Calls)
-    if (Each.Peer == Peer)
-      Affected.push_back(Id);
-  wire::CallReply Reply =
-      End == LinkEnd::NeverConnected
-          ? failedReply(CallEnd::Refused, CallReason::DaemonDown)
-          : failedReply(CallEnd::Unknown, CallReason::ConnectionLost);
-  for (uint64_t Id : Affected)
-    attemptEnded(Id, Reply);
+  for (auto &[Id, Each] : Calls) {
+    if (Each.Peer != Peer)
+      continue;
+    Each.Delivered = Each.Delivered || End == LinkEnd::Retired;
+    Affected.push_back(Id);
+  }
+  if (End == LinkEnd::Retired)
+    return;
+  for (uint64_t Id : Affected) {
+    auto Found = Calls.find(Id);
+    if (Found == Calls.end() || Found->second.Peer != Peer)
+      continue;
+    bool NotRun = End == LinkEnd::NeverConnected && !Found->second.Delivered;
+    attemptEnded(
+        Id, NotRun ? failedReply(CallEnd::Refused, CallReason::DaemonDown)
+                   : failedReply(CallEnd::Unknown, CallReason::ConnectionLost));
+  }
 }
 
 void CallerSide::attemptEnded(uint64_t Id, const wire::CallReply &Reply) {
   Call &Current = Calls.at(Id);
   Balance->ended(Current.MemberId);
-  Balance->reported(Current.MemberId, {Reply.inFlight, Reply.queued});
+  Balance->reported(Current.MemberId, {Reply.inFlight, Reply.queued},
+                    Time->now());
   observe(Current, Reply);
   CallEnd End = endOf(Reply.ending);
   if (End == CallEnd::Answered) {
-    answer(Id, Reply);
+    if (Current.Held)
+      KeyClaims->keep(*Current.Held, Reply);
+    answer(Id, Reply, /*Replayed=*/false);
     return;
   }
   Current.Peer = {};
   Current.LastReason = reasonCalled(Reply.reason);
   if (End == CallEnd::Unknown)
     ++Current.UnknownAttempts;
-  if (mayRetry(Current, End)) {
+  RetryVerdict Verdict = mayRetry(Current, End);
+  if (Verdict == RetryVerdict::Retry) {
     attempt(Id);
     return;
   }
   CallEnd Told =
       Current.UnknownAttempts > 0 ? CallEnd::Unknown : CallEnd::Refused;
-  end(Id, Told, Current.LastReason);
+  end(Id, Told, Current.LastReason, Verdict);
 }
 
 void CallerSide::observe(const Call &Ended, const wire::CallReply &Reply) {
@@ -260,42 +332,53 @@
   Outcome.Status = Reply.status;
   Outcome.Latency = Now - Ended.AttemptBegun;
   Versions->observe(Outcome, Now);
+  Balance->observed({Outcome.Service, Outcome.Version, Outcome.MemberId},
+                    Outcome.End, Outcome.Reason, Outcome.Status,
+                    Outcome.Latency, Now);
 }
 
-bool CallerSide::mayRetry(const Call &Candidate, CallEnd End) const {
-  if (Candidate.Attempts >= MaxAttempts || Time->now() >= Candidate.Deadline)
-    return false;
-  if (End == CallEnd::Refused)
-    return true;
-  return Candidate.Route->Repeatable &&
-         Candidate.UnknownAttempts < MaxUnknownAttempts;
+RetryVerdict CallerSide::mayRetry(const Call &Candidate, CallEnd End) {
+  RetryState State = {Candidate.Attempts, Candidate.UnknownAttempts,
+                      Candidate.Route->Repeatable, Candidate.Deadline};
+  return Retries.decide(State, End, Time->now());
 }
 
 void CallerSide::timedOut(uint64_t Id) {
   Call &Current = Calls.at(Id);
+  if (Current.Attempts == 0) {
+    end(Id, CallEnd::Refused, CallReason::NoClaim);
+    return;
+  }
+  observe(Current, failedReply(CallEnd::Unknown, CallReason::DeadlinePassed));
   cancelAttempt(Id, Current);
-  end(Id, CallEnd::Unknown, CallReason::DeadlinePassed);
+  end(Id, CallEnd::Unknown, CallReason::DeadlinePassed,
+      RetryVerdict::DeadlinePassed);
 }
 
 void CallerSide::callerLeft(uint64_t Id) {
   Call &Current = Calls.at(Id);
+  if (Current.Attempts == 0) {
+    end(Id, CallEnd::Refused, CallReason::Cancelled);
+    return;
+  }
   cancelAttempt(Id, Current);
   end(Id, CallEnd::Unknown, CallReason::Cancelled);
 }
 
 void CallerSide::cancelAttempt(uint64_t Id, Call &Cancelled) {
   Balance->ended(Cancelled.MemberId);
+  wire::CallCancel Message;
+  Message.id = attemptId(Id, Cancelled.Attempts);
   ++Cancelled.Attempts; // The attempt's own end is ignored from here on.
   if (Cancelled.Peer == Self) {
     LocalSide->cancel(Cancelled.LocalNumber);
     return;
   }
-  wire::CallCancel Message;
-  Message.id = static_cast<int64_t>(Id);
   Peers->sendMessage(Cancelled.Peer, FrameType::CallCancel, Message);
 }
 
-void CallerSide::answer(uint64_t Id, const wire::CallReply &Reply) {
+void CallerSide::answer(uint64_t Id, const wire::CallReply &Reply,
+                        bool Replayed) {
   auto Found = Calls.find(Id);
   Call Ended = std::move(Found->second);
   Calls.erase(Found);
@@ -305,20 +388,33 @@
     Response.Headers.push_back({Each.name, Each.value});
   Response.Headers.push_back({EndHeader, "answered"});
   Response.Headers.push_back({RouteHeader, Ended.Route->Name});
-  Response.Headers.push_back({VersionHeader, Ended.Version});
+  if (Replayed)
+    Response.Headers.push_back({ReplayedHeader, "true"});
+  else
+    Response.Headers.push_back({VersionHeader, Ended.Version});
   Response.Body = Reply.body;
   Counters->countCall(Ended.Route->Name, CallEnd::Answered, CallReason::None);
   Ended.Caller->reply(Response);
 }
 
-void CallerSide::end(uint64_t Id, CallEnd End, CallReason Reason) {
+void CallerSide::end(uint64_t Id, CallEnd End, CallReason Reason,
+                     RetryVerdict Verdict) {
   auto Found = Calls.find(Id);
   Call Ended = std::move(Found->second);
   Calls.erase(Found);
   Counters->countCall(Ended.Route->Name, End, Reason);
   HttpResponse Response = failureResponse(End, Reason);
   Response.Headers.push_back({RouteHeader, Ended.Route->Name});
-  Ended.Caller->reply(Response);
+  if (Verdict != RetryVerdict::Retry)
+    Response.Headers.push_back({NoRetryHeader, std::string(nameOf(Verdict))});
+  if (!Ended.Held || End != CallEnd::Refused) {
+    Ended.Caller->reply(Response);
+    return;
+  }
+  // The caller may resubmit as soon as it has the response.
+  KeyClaims->release(*Ended.Held, [Caller = Ended.Caller, Response] {
+    Caller->reply(Response);
+  });
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/traffic/caller_side.h
+++ b/cyclamenwind/traffic/caller_side.h
@@ -4,7 +4,12 @@
 // version and endpoint, and sends the request to the daemon beside the chosen
 // backend server. A refused attempt is tried elsewhere while time is left, even
 // for requests that may not be repeated, since it was not run. An attempt of
-// unknown end is tried again only if the route is repeatable.
+// unknown end is tried again only if the route is repeatable. Both are subject
+// to the RetryPolicy.
+//
+// Each attempt has an id of its own between daemons, from a random start in
+// each process, so that a reply to an earlier attempt, or to an earlier process
+// at this address, is recognised and dropped.
 
 #ifndef CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
 #define CYCLAMENWIND_TRAFFIC_CALLER_SIDE_H
@@ -17,6 +22,8 @@
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/transport.h"
 #include "cyclamenwind/traffic/balancer.h"
+#include "cyclamenwind/traffic/claims.h"
+#include "cyclamenwind/traffic/retry.h"
 #include "cyclamenwind/traffic/server_side.h"
 #include "cyclamenwind/traffic/versions.h"
 
@@ -47,12 +54,14 @@
     const ServiceSpec *Target = nullptr;
     wire::CallRequest Request;
     uint64_t CallerHash = 0;
+    std::optional<Claim> Held; // Once granted.
     TimePoint Deadline;
     int Attempts = 0;
     int UnknownAttempts = 0;
     std::set<std::string> Tried;
     CallReason LastReason = CallReason::NoServer;
     // The attempt under way.
+    bool Delivered = false; // The stream that carried it was retired.
     std::string MemberId;
     Address Peer;
     std::string Version;
@@ -62,20 +71,25 @@
   };
 
   void refuseAtOnce(const ExchangePtr &Received, CallReason Reason);
+  void claim(uint64_t Id);
+  void claimed(uint64_t Id, const ClaimOutcome &Outcome);
+  void begin(uint64_t Id);
   void attempt(uint64_t Id);
   void dispatch(uint64_t Id);
   void receiveReply(const Address &From, std::string_view Payload);
   void linkDown(const Address &Peer, LinkEnd End);
   void attemptEnded(uint64_t Id, const wire::CallReply &Reply);
   void observe(const Call &Ended, const wire::CallReply &Reply);
-  bool mayRetry(const Call &Candidate, CallEnd End) const;
+  RetryVerdict mayRetry(const Call &Candidate, CallEnd End);
   void timedOut(uint64_t Id);
   void callerLeft(uint64_t Id);
   void cancelAttempt(uint64_t Id, Call &Cancelled);
-  void answer(uint64_t Id, const wire::CallReply &Reply);
-  void end(uint64_t Id, CallEnd End, CallReason Reason);
+  void answer(uint64_t Id, const wire::CallReply &Reply, bool Replayed);
+  void end(uint64_t Id, CallEnd End, CallReason Reason,
+           RetryVerdict Verdict = RetryVerdict::Retry);
 
   Address Self;
+  std::string MemberId;
   std::string FailureDomain;
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
@@ -87,7 +101,9 @@
   Metrics *Counters = nullptr;
   Random *Dice = nullptr;
   std::unique_ptr<Balancer> Balance;
+  std::unique_ptr<Claims> KeyClaims;
   std::map<uint64_t, Call> Calls;
+  RetryPolicy Retries;
   uint64_t NextId = 1;
   bool ShuttingDown = false;
 };
--- a/cyclamenwind/traffic/ends.h
+++ b/cyclamenwind/traffic/ends.h
@@ -32,10 +32,13 @@
   DaemonDown,   // No connection to the daemon beside the backend server.
   ShuttingDown, // The daemon is shutting down.
   Cancelled,    // The caller has left.
+  NoClaim,      // The platform gave no certain word on the idempotency key.
+  KeyMismatch,  // The idempotency key was used for another request.
   // Unknown.
   DeadlinePassed, // The deadline passed after the request had been sent.
   ConnectionLost, // The connection broke after the request had been sent.
   BadAnswer,      // The response was cut, too large or malformed.
+  AlreadyClaimed, // Sent before with this idempotency key; not run again.
 };
 
 std::string_view nameOf(CallReason Reason);
@@ -46,12 +49,16 @@
 
 inline constexpr char EndHeader[] = "Cyclamenwind-End";
 inline constexpr char ReasonHeader[] = "Cyclamenwind-Reason";
+// Why a failed call was not tried again: the name of a RetryVerdict.
+inline constexpr char NoRetryHeader[] = "Cyclamenwind-No-Retry";
 inline constexpr char RouteHeader[] = "Cyclamenwind-Route";
 inline constexpr char VersionHeader[] = "Cyclamenwind-Server-Version";
 // Time left for the call, milliseconds; from a caller, and to backend servers.
 inline constexpr char DeadlineHeader[] = "Cyclamenwind-Deadline-Ms";
 // Keeps a caller's calls on one version during a move.
 inline constexpr char CallerKeyHeader[] = "Cyclamenwind-Caller-Key";
+// Set on an answer that an earlier request with the same key was given.
+inline constexpr char ReplayedHeader[] = "Cyclamenwind-Replayed";
 inline constexpr char IdempotencyKeyHeader[] = "Idempotency-Key";
 
 } // namespace cyclamenwind
--- a/cyclamenwind/wire/membership.thrift
+++ b/cyclamenwind/wire/membership.thrift
@@ -17,7 +17,9 @@
   4: bool draining
 }
 
-// A member's record; the higher (incarnation, revision) supersedes.
+// A member's record; the higher (incarnation, revision) supersedes. Unless the
+// state is ALIVE the fields after it are left out, and the receiver keeps those
+// that it holds.
 struct MemberRecord {
   1: string id
   2: i64 incarnation
@@ -26,18 +28,49 @@
   5: string peerAddress
   6: string failureDomain
   7: list<Offer> offers
-  // Configuration version in force at the member; 0: none.
-  8: i64 configVersion
 }
 
-// Recent changes; digest covers the sender's whole roster.
+// Recent changes, passed on by the receiver.
 struct Gossip {
   1: list<MemberRecord> records
+}
+
+// Asks the receiver to show that it is targetId and alive.
+struct Probe {
+  1: i64 sequence
+  2: string targetId
+  // Digest of the sender's roster.
+  3: i64 digest
+  4: list<MemberRecord> records
+}
+
+struct ProbeAck {
+  1: i64 sequence
   2: i64 digest
+  3: list<MemberRecord> records
+}
+
+// Asks the receiver to probe the target and to pass on its ack.
+struct ProbeRequest {
+  1: i64 sequence
+  2: string targetId
+  3: string targetAddress
+}
+
+// The receiver of a ProbeRequest got no ack either.
+struct ProbeNack {
+  1: i64 sequence
+}
+
+// Digests of the sender's buckets, four octets each, big endian; asks for the
+// records of the buckets that differ.
+struct RosterPull {
+  1: binary bucketDigests
+  // The sender is still learning the roster and is not to be pulled from.
+  2: bool joining
 }
 
-// Whole roster, sent when digests differ. wantReply asks for the receiver's.
-struct RosterSync {
+// Records that a pull asked for; not passed on.
+struct RosterRecords {
   1: list<MemberRecord> records
-  2: bool wantReply
 }
