--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -4,7 +4,7 @@
 // Each kind of version is moved to with many seeds at a high and a low call
 // rate, by three policies: the real one, a timed ramp without evidence, and a
 // fixed error threshold. All three follow the same plan. "--ci" runs fewer
-// seeds and checks only that no bad version is called done.
+// seeds; "--kind NAME" runs one kind by the real policy.
 
 #include "cyclamenwind/base/names.h"
 #include "cyclamenwind/base/random.h"
@@ -135,6 +135,7 @@
 struct Outcome {
   MoveState State = MoveState::WaitingForServers;
   bool InTime = false;
+  MoveReason Reason = MoveReason::None;
   uint64_t Calls = 0;
   uint64_t NewCalls = 0;
   uint64_t NewAfterFault = 0;
@@ -180,6 +181,7 @@
       advance();
     }
     Result.State = Record.State;
+    Result.Reason = Record.Reason;
     Result.InTime = Now < Body.Moves[0].DoneBy;
     return Result;
   }
@@ -349,6 +351,7 @@
   int DoneInTime = 0;
   int TakenBack = 0;
   int TakenBackInTime = 0;
+  int SetTimePassed = 0;
   std::vector<double> Exposures; // Share of the service's calls, sorted.
   uint64_t NewCalls = 0;
 
@@ -365,6 +368,7 @@
     Sum.DoneInTime += Ended.State == MoveState::Done && Ended.InTime;
     Sum.TakenBack += Ended.State == MoveState::TakenBack;
     Sum.TakenBackInTime += Ended.State == MoveState::TakenBack && Ended.InTime;
+    Sum.SetTimePassed += Ended.Reason == MoveReason::SetTimePassed;
     uint64_t Counted =
         badFromStart(Which) ? Ended.NewCalls : Ended.NewAfterFault;
     Sum.Exposures.push_back(static_cast<double>(Counted) /
@@ -395,6 +399,7 @@
 
 void reportGood(BenchReport &Report, const std::string &Name,
                 const Summary &Sum, bool Bounded) {
+  Report.figure(Name + ".set_time_passed", Sum.percent(Sum.SetTimePassed), "%");
   double InTime = Sum.percent(Sum.DoneInTime);
   double Back = Sum.percent(Sum.TakenBack);
   if (Bounded) {
@@ -438,9 +443,14 @@
   bool Short = Count > 1 && std::strcmp(Arguments[1], "--ci") == 0;
   int Seeds = Short ? 5 : 200;
   BenchReport Report("moves");
+  std::string_view Only =
+      Count > 2 && std::strcmp(Arguments[1], "--kind") == 0 ? Arguments[2] : "";
   for (const Rate &Pace : {High, Low}) {
     for (const EnumName<Policy> &How : PolicyNames) {
       for (const EnumName<Kind> &Which : KindNames) {
+        if (!Only.empty() &&
+            (Only != Which.Name || How.Value != Policy::Evidence))
+          continue;
         Summary Sum = summarise(Which.Value, How.Value, Pace, Seeds);
         std::string Name = std::string(How.Name) + "." + Pace.Name + "." +
                            std::string(Which.Name);
@@ -453,6 +463,7 @@
     }
   }
   for (size_t Daemons : {16, 64})
-    reportStop(Report, Daemons, Short ? 1 : 5);
+    if (Only.empty())
+      reportStop(Report, Daemons, Short ? 1 : 5);
   return Report.status();
 }
--- a/cyclamenwind/moves/plan.cpp
+++ b/cyclamenwind/moves/plan.cpp
@@ -16,8 +16,8 @@
 constexpr Level Levels[] = {
     {0.01, 0.05}, {SmallShare, 0.5}, {0.2, 0.15}, {0.5, 0.15}, {0.75, 0.15}};
 
-// Part of the time, relative to the steps' weights, that is kept free at the end
-// for outages and lost leases.
+// Part of the time, relative to the steps' weights, that is kept free at the
+// end for outages and lost leases.
 constexpr double ReserveWeight = 0.1;
 
 } // namespace
