--- a/faults/traffic_faults.cpp
+++ b/faults/traffic_faults.cpp
@@ -250,9 +250,9 @@
 
 constexpr std::array<MutantCase, 4> MutantCases = {{
     {TrafficMutant::PassesCutAnswer, "passes_cut_answer", '5', Fault::CutAnswer,
-     CallStep::AnswerHalfIn},
+     CallStep::AnswerHalfIn, Daemons},
     {TrafficMutant::DeniesFirstByte, "denies_first_byte", '6',
-     Fault::ServerKill, CallStep::Waiting},
+     Fault::ServerKill, CallStep::Waiting, 1},
     {TrafficMutant::SendsTwice, "sends_twice", '7', Fault::CutAnswer,
      CallStep::AnswerHalfIn, Daemons},
     {TrafficMutant::IgnoresDrain, "ignores_drain", '8', Fault::ServerDrain,
