--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/config/acceptance.h"
 #include "cyclamenwind/config/distribution.h"
+#include "cyclamenwind/config/status.h"
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/membership/membership.h"
 #include "cyclamenwind/moves/service.h"
@@ -23,6 +24,8 @@
 // How long after leaving a daemon still takes calls, so that all others have
 // heard that it left.
 constexpr Duration LeaveNoticeTime = 1500ms;
+// How long streams to other daemons may take to close by agreement.
+constexpr Duration CloseLimit = 2s;
 
 uint64_t freshSeed() {
   std::random_device Source;
@@ -74,6 +77,7 @@
               static_cast<size_t>(TheSettings.Traffic.ConnectionsPerServer)}),
       TheSettings.Traffic));
   Services.add(std::make_unique<CallerSide>(TheSettings));
+  Services.add(std::make_unique<RuntimeMetrics>());
   Services.add(std::make_unique<OperatorApi>(TheSettings));
   Services.add(std::make_unique<DocumentApi>(TheSettings.Member.FailureDomain));
   Services.add(std::make_unique<AuditApi>());
@@ -111,9 +115,13 @@
 
 void Daemon::start() {
   Services.start();
-  Services.find<OperatorApi>("operators").onDrain([this] { shutdown(); });
-  Services.find<OperatorApi>("operators").addStatus("moves", [this] {
-    return Services.find<MoveService>("versions").status();
+  showDistribution();
+  auto &Operators = Services.find<OperatorApi>("operators");
+  auto &Moves = Services.find<MoveService>("versions");
+  Operators.onDrain([this] { shutdown(); });
+  Operators.addStatus("moves", [&Moves] { return Moves.status(); });
+  Operators.route("GET", "/api/moves", [&Moves](const ExchangePtr &Received) {
+    replyJson(Received, 200, Moves.status());
   });
   logInfo("daemon_started",
           {{"callers", TheSettings.Addresses.Callers.text()},
@@ -122,6 +130,21 @@
            {"failure_domain", TheSettings.Member.FailureDomain}});
 }
 
+void Daemon::showDistribution() {
+  auto &Shown = Services.find<Distribution>("config_distribution");
+  auto &Members = Services.find<MembershipView>("membership");
+  auto &Operators = Services.find<OperatorApi>("operators");
+  Operators.addStatus("standing", [this, &Shown, &Members] {
+    return standingJson(Shown, Members.roster(), TheLoop.now());
+  });
+  Operators.addStatus("distribution", [this, &Shown] {
+    return distributionJson(Shown, TheLoop.now());
+  });
+  Operators.addStatus("control", [this] {
+    return controlJson(Services.find<PeerTransport>("peers"));
+  });
+}
+
 void Daemon::shutdown() {
   if (Draining) {
     logWarning("daemon_stopped", {{"cause", "second request"}});
@@ -137,16 +160,42 @@
   DrainTimer = TheLoop.every(DrainCheckPeriod, [this] { checkDrained(); });
 }
 
+// Requests of callers and calls on backend servers that have not ended, and
+// responses not yet written.
+size_t Daemon::unfinished() {
+  return Services.find<CallerSide>("caller_side").active() +
+         Services.find<ServerSide>("server_side").active() +
+         CallerServer->unfinished();
+}
+
 void Daemon::checkDrained() {
-  Duration Elapsed = TheLoop.now() - DrainBegun;
-  size_t Active = Services.find<CallerSide>("caller_side").active() +
-                  Services.find<ServerSide>("server_side").active();
-  bool Finished = Active == 0 && Elapsed >= LeaveNoticeTime;
-  if (!Finished && Elapsed < TheSettings.Traffic.DrainLimit)
+  TimePoint Now = TheLoop.now();
+  if (Now - DrainBegun >= TheSettings.Traffic.DrainLimit) {
+    logWarning("daemon_stopped",
+               {{"cause", "drain limit"}, {"calls_cut", unfinished()}});
+    TheLoop.stop();
+    return;
+  }
+  if (Now - DrainBegun < LeaveNoticeTime)
+    return;
+  Services.find<ServerSide>("server_side").refuseNew();
+  if (unfinished() > 0)
     return;
-  logInfo("daemon_stopped", {{"cause", Finished ? "drained" : "drain limit"},
-                             {"calls_cut", Active}});
+  if (!ClosingBegun)
+    beginClosing();
+  bool Closed = Services.find<TcpTransport>("peers").links() == 0;
+  if (!Closed && Now - *ClosingBegun < CloseLimit)
+    return;
+  logInfo("daemon_stopped", {{"cause", "drained"}});
   TheLoop.stop();
 }
 
+// Nothing runs any more. Requests that still come on open connections and
+// streams are refused until those have been closed.
+void Daemon::beginClosing() {
+  ClosingBegun = TheLoop.now();
+  CallerServer->stopAccepting();
+  Services.find<TcpTransport>("peers").leave();
+}
+
 } // namespace cyclamenwind
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -22,7 +22,6 @@
           {"state", nameOf(Record.State)},
           {"failure_domain", Record.FailureDomain},
           {"peer", Record.Peer.text()},
-          {"config_version", Record.ConfigVersion},
           {"servers", Offers}};
 }
 
@@ -77,8 +76,9 @@
   Members = &Host.find<MembershipView>("membership");
   Local = &Host.find<Announcements>("announcements");
   Counters = &Host.find<Metrics>("metrics");
+  Gauges = &Host.find<RuntimeMetrics>("runtime_metrics");
   route("GET", "/metrics", [this](const ExchangePtr &Received) {
-    Counters->setConfigVersion(Config->version());
+    Gauges->refresh();
     Received->reply({200,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
                      Counters->text()});
