--- a/tests/membership_service_test.cpp
+++ b/tests/membership_service_test.cpp
@@ -56,7 +56,6 @@
     Made.Services->add(std::move(Client));
     Made.Services->add(
         std::make_unique<FakePeers>(Network, Options.Addresses.Peers));
-    Made.Services->add(std::make_unique<ConfigStore>());
     Made.Services->add(std::make_unique<Announcements>(3s));
     Made.Services->add(std::move(Members));
     Made.Services->start();
--- a/tests/operators_api_test.cpp
+++ b/tests/operators_api_test.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/config/watcher.h"
+#include "cyclamenwind/config/distribution.h"
 #include "cyclamenwind/operators/access.h"
 #include "cyclamenwind/operators/audit_api.h"
 #include "cyclamenwind/operators/explain.h"
@@ -63,7 +63,8 @@
     Services.add(std::make_unique<Metrics>());
     Services.add(std::make_unique<AuditTrail>());
     Services.add(std::make_unique<ConfigStore>());
-    Services.add(std::make_unique<PlatformWatcher>());
+    TheSettings.Config.WatchDirectly = true;
+    Services.add(std::make_unique<Distribution>(TheSettings));
     Services.add(std::make_unique<Acceptance>());
     Services.add(std::make_unique<Announcements>(3s));
     Services.add(std::make_unique<Membership>(TheSettings, 1));
