--- a/cyclamenwind/base/kernel.cpp
+++ b/cyclamenwind/base/kernel.cpp
@@ -14,11 +14,15 @@
 }
 
 void Kernel::start() {
+  Started = true;
   for (const std::unique_ptr<Service> &Each : Services)
     Each->start(*this);
 }
 
 void Kernel::stop() {
+  if (!Started)
+    return;
+  Started = false;
   for (auto Each = Services.rbegin(); Each != Services.rend(); ++Each)
     (*Each)->stop();
 }
--- a/cyclamenwind/base/kernel.h
+++ b/cyclamenwind/base/kernel.h
@@ -31,7 +31,7 @@
   // Called once, after all services have been registered.
   virtual void start(Kernel &Host) = 0;
 
-  // Called once, before any service is destroyed.
+  // Called once after start(), before any service is destroyed.
   virtual void stop() {}
 };
 
@@ -48,6 +48,8 @@
   void add(std::unique_ptr<Service> Added);
 
   void start();
+
+  // Stops the services if they were started.
   void stop();
 
   // The service called Name as a T.
@@ -67,6 +69,7 @@
   Random &TheRandom;
   std::vector<std::unique_ptr<Service>> Services;
   std::map<std::string, Service *, std::less<>> ByName;
+  bool Started = false;
 };
 
 } // namespace cyclamenwind
