--- a/cyclamenwind/moves/evidence.h
+++ b/cyclamenwind/moves/evidence.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace cyclamenwind {
 
@@ -31,7 +32,11 @@
   bool OnNew = false;
   std::string Server; // Member beside it; empty for the old version.
 
-  auto operator<=>(const EvidenceKey &) const = default;
+  bool operator==(const EvidenceKey &) const = default;
+  bool operator<(const EvidenceKey &Other) const {
+    return std::tie(Route, OnNew, Server) <
+           std::tie(Other.Route, Other.OnNew, Other.Server);
+  }
 };
 
 using Evidence = std::map<EvidenceKey, SideCounts>;
--- a/tests/moves_machine_test.cpp
+++ b/tests/moves_machine_test.cpp
@@ -138,7 +138,7 @@
   WallTime Late = Start + 1h;
   CHECK(nextRecord(Record, Home.Context, Late)->State == MoveState::TakenBack);
   Home.Body.Moves[0].AtSetTime = SetTimeRule::StayUndecided;
-  for (MoveRecord From :
+  for (const MoveRecord &From :
        {Record, Home.upTo(MoveState::Holding), Home.first()}) {
     MoveRecord Stands = nextRecord(From, Home.Context, Late).value();
     CHECK(Stands.State == MoveState::Undecided);
