--- a/cyclamenwind/base/log.cpp
+++ b/cyclamenwind/base/log.cpp
@@ -53,15 +53,16 @@
 
 } // namespace
 
-void startLog(LogLevel Level, const std::string &Member) {
+void startLog(LogLevel Level, const std::string &Member, LogTarget Target) {
   initializer();
   // Writes each event with one system call.
-  std::setvbuf(stderr, nullptr, _IOLBF, BUFSIZ);
+  bool ToError = Target == LogTarget::StandardError;
+  std::setvbuf(ToError ? stderr : stdout, nullptr, _IOLBF, BUFSIZ);
   std::string Pattern =
       "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p member=" + quoted(Member) +
       " %m%n";
   log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/ToError,
                                      /*immediateFlush=*/true));
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
--- a/cyclamenwind/base/log.h
+++ b/cyclamenwind/base/log.h
@@ -20,6 +20,7 @@
   LogField(std::string_view Key, std::string_view Text)
       : Key(Key), Value(Text) {}
   LogField(std::string_view Key, const char *Text) : Key(Key), Value(Text) {}
+  LogField(std::string_view Key, char *Text) : Key(Key), Value(Text) {}
   LogField(std::string_view Key, const std::string &Text)
       : Key(Key), Value(Text) {}
   template <typename Number>
@@ -32,8 +33,11 @@
 
 using LogFields = std::initializer_list<LogField>;
 
-// Directs the log to standard error at Level; Member is added to each line.
-void startLog(LogLevel Level, const std::string &Member);
+enum class LogTarget { StandardError, StandardOutput };
+
+// Directs the log to Target at Level; Member is added to each line.
+void startLog(LogLevel Level, const std::string &Member,
+              LogTarget Target = LogTarget::StandardError);
 
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields);
 
--- a/cyclamenwind/config/acceptance.h
+++ b/cyclamenwind/config/acceptance.h
@@ -15,7 +15,7 @@
 
 #include "cyclamenwind/base/kernel.h"
 #include "cyclamenwind/document/document.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
--- a/cyclamenwind/config/directory.cpp
+++ b/cyclamenwind/config/directory.cpp
@@ -1,6 +1,6 @@
 #include "cyclamenwind/config/directory.h"
 
-#include "cyclamenwind/platform/lease.h"
+#include "cyclamenwind/store/lease.h"
 
 #include <charconv>
 
--- a/cyclamenwind/config/directory.h
+++ b/cyclamenwind/config/directory.h
@@ -7,7 +7,7 @@
 #define CYCLAMENWIND_CONFIG_DIRECTORY_H
 
 #include "cyclamenwind/base/address.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 #include "cyclamenwind/wire/gen-cpp/config_types.h"
 
 #include <map>
--- a/cyclamenwind/config/distribution.h
+++ b/cyclamenwind/config/distribution.h
@@ -24,7 +24,7 @@
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/membership/membership.h"
 #include "cyclamenwind/peer/transport.h"
-#include "cyclamenwind/platform/lease.h"
+#include "cyclamenwind/store/lease.h"
 
 namespace cyclamenwind {
 
--- a/cyclamenwind/config/platform_feed.h
+++ b/cyclamenwind/config/platform_feed.h
@@ -9,7 +9,7 @@
 
 #include "cyclamenwind/base/random.h"
 #include "cyclamenwind/base/scheduler.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -11,7 +11,7 @@
 #include "cyclamenwind/operators/audit_api.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/tcp_transport.h"
-#include "cyclamenwind/platform/service.h"
+#include "cyclamenwind/store/service.h"
 #include "cyclamenwind/traffic/caller_side.h"
 #include "cyclamenwind/traffic/server_side.h"
 
@@ -40,26 +40,29 @@
 }
 
 Result<std::unique_ptr<Daemon>, DaemonError>
-Daemon::create(Loop &TheLoop, const Settings &TheSettings) {
-  std::unique_ptr<Daemon> Made(new Daemon(TheLoop, TheSettings));
+Daemon::create(Loop &TheLoop, const Settings &TheSettings,
+               std::unique_ptr<PlatformClient> Platform) {
+  std::unique_ptr<Daemon> Made(
+      new Daemon(TheLoop, TheSettings, std::move(Platform)));
   Result<void, DaemonError> Bound = Made->bind();
   if (!Bound)
     return Bound.error();
   return Made;
 }
 
-Daemon::Daemon(Loop &TheLoop, const Settings &TheSettings)
+Daemon::Daemon(Loop &TheLoop, const Settings &TheSettings,
+               std::unique_ptr<PlatformClient> Platform)
     : TheLoop(TheLoop), TheSettings(TheSettings), Dice(freshSeed()),
       Services(TheLoop, TheLoop, Dice) {
-  addServices();
+  addServices(std::move(Platform));
 }
 
 Daemon::~Daemon() { Services.stop(); }
 
-void Daemon::addServices() {
+void Daemon::addServices(std::unique_ptr<PlatformClient> Platform) {
   int64_t Incarnation = TheLoop.wallNow().time_since_epoch().count();
   Services.add(std::make_unique<PlatformService>(
-      TheLoop, TheSettings.Addresses.Platform, TheSettings.Platform, Dice));
+      std::move(Platform), TheLoop, TheSettings.Platform, Dice));
   Services.add(std::make_unique<Metrics>());
   Services.add(std::make_unique<AuditTrail>());
   Services.add(std::make_unique<ConfigStore>());
--- a/cyclamenwind/daemon/daemon.h
+++ b/cyclamenwind/daemon/daemon.h
@@ -1,7 +1,7 @@
 // Daemon: one daemon, assembled from its services.
 //
 //   Result<std::unique_ptr<Daemon>, DaemonError> Made =
-//       Daemon::create(TheLoop, TheSettings);
+//       Daemon::create(TheLoop, TheSettings, std::move(Platform));
 //   Made.value()->start();
 //   TheLoop.run();   // Until shutdown() has finished, or is called twice.
 
@@ -12,6 +12,7 @@
 #include "cyclamenwind/base/loop.h"
 #include "cyclamenwind/base/settings.h"
 #include "cyclamenwind/http/server.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
@@ -27,7 +28,8 @@
 class Daemon {
 public:
   static Result<std::unique_ptr<Daemon>, DaemonError>
-  create(Loop &TheLoop, const Settings &TheSettings);
+  create(Loop &TheLoop, const Settings &TheSettings,
+         std::unique_ptr<PlatformClient> Platform);
 
   ~Daemon();
   Daemon(const Daemon &) = delete;
@@ -44,10 +46,11 @@
   Kernel &kernel() { return Services; }
 
 private:
-  Daemon(Loop &TheLoop, const Settings &TheSettings);
+  Daemon(Loop &TheLoop, const Settings &TheSettings,
+         std::unique_ptr<PlatformClient> Platform);
 
   Result<void, DaemonError> bind();
-  void addServices();
+  void addServices(std::unique_ptr<PlatformClient> Platform);
   void showDistribution();
   void checkDrained();
   size_t unfinished();
--- a/cyclamenwind/membership/membership.h
+++ b/cyclamenwind/membership/membership.h
@@ -14,7 +14,7 @@
 #include "cyclamenwind/membership/announcements.h"
 #include "cyclamenwind/membership/protocol.h"
 #include "cyclamenwind/peer/transport.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
--- /dev/null
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -0,0 +1,132 @@
+#include "cyclamenwind/mesh/chooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenwind {
+namespace {
+
+// Time of a request before any was seen, microseconds.
+constexpr double DefaultServiceTime = 50e3;
+// A server without reports is taken to be this much slower than the others.
+constexpr double UnknownFactor = 1.3;
+// Extra cost of a full server that has no queue yet; some servers slow down
+// before they are full.
+constexpr double PressureFactor = 0.35;
+// After this long half of a report's weight is gone.
+constexpr double ReportHalfLife = 1.5; // Seconds.
+// Another failure domain costs two ways, microseconds.
+constexpr double DomainCost = 2e3;
+// Spread of the cost, so that daemons with the same view do not all choose the
+// same server.
+constexpr double Spread = 0.15;
+// A server that fails everything costs this much more than one that works.
+constexpr double FailureFactor = 30;
+// Shares below are normal errors of an application.
+constexpr double NormalFailureShare = 0.04;
+
+double seconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+const MeshEndpoint *EndpointChooser::choose(
+    const std::vector<const MeshEndpoint *> &Candidates,
+    const std::set<std::string> &Tried, TimePoint Now) {
+  double Typical = typicalTime(Candidates);
+  const MeshEndpoint *Best = nullptr;
+  double BestCost = 0;
+  bool BestAvoided = false;
+  for (const MeshEndpoint *Each : Candidates) {
+    if (Tried.count(Each->Id) != 0)
+      continue;
+    bool Avoided = avoided(Each->Id, Now);
+    double Cost = cost(*Each, Typical, Now);
+    bool Better = Best == nullptr || (BestAvoided && !Avoided) ||
+                  (BestAvoided == Avoided && Cost < BestCost);
+    if (!Better)
+      continue;
+    Best = Each;
+    BestCost = Cost;
+    BestAvoided = Avoided;
+  }
+  return Best;
+}
+
+bool EndpointChooser::allUnreachable(
+    const std::vector<const MeshEndpoint *> &Candidates, TimePoint Now) const {
+  return std::all_of(
+      Candidates.begin(), Candidates.end(),
+      [&](const MeshEndpoint *Each) { return avoided(Each->Id, Now); });
+}
+
+bool EndpointChooser::avoided(const std::string &Id, TimePoint Now) const {
+  auto Found = States.find(Id);
+  return Found != States.end() && Now < Found->second.AvoidUntil;
+}
+
+double EndpointChooser::typicalTime(
+    const std::vector<const MeshEndpoint *> &Candidates) const {
+  double Sum = 0;
+  int Count = 0;
+  for (const MeshEndpoint *Each : Candidates) {
+    auto Found = States.find(Each->Id);
+    if (Found == States.end() ||
+        Found->second.Report.ServiceTime <= Duration::zero())
+      continue;
+    Sum += static_cast<double>(Found->second.Report.ServiceTime.count());
+    ++Count;
+  }
+  return Count == 0 ? DefaultServiceTime : Sum / Count;
+}
+
+// Expected time to the end of a request, in microseconds.
+double EndpointChooser::cost(const MeshEndpoint &Candidate, double TypicalTime,
+                             TimePoint Now) {
+  State &Known = States[Candidate.Id];
+  double Age = seconds(Now - Known.ReportedAt);
+  double Weight = Known.ReportedAt == TimePoint()
+                      ? 0
+                      : std::exp2(-std::max(0.0, Age) / ReportHalfLife);
+  double Time = TypicalTime * UnknownFactor;
+  if (Known.Report.ServiceTime > Duration::zero())
+    Time = Weight * static_cast<double>(Known.Report.ServiceTime.count()) +
+           (1 - Weight) * TypicalTime;
+  double Others = std::max(0, Known.Report.Running + Known.Report.Queued -
+                                  Known.OutstandingAtReport);
+  double Load = Known.Outstanding + Weight * Others;
+  double Slots = std::max(
+      1, Known.Report.Slots > 0 ? Known.Report.Slots : Candidate.Slots);
+  double Cost = Time * (1 + PressureFactor * std::min(1.0, Load / Slots));
+  if (Load >= Slots)
+    Cost += Time * (Load - Slots + 1) / Slots;
+  double Failures =
+      std::max(0.0, Known.Report.FailureShare - NormalFailureShare) * Weight;
+  Cost *= 1 + FailureFactor * Failures;
+  if (Candidate.FailureDomain != FailureDomain)
+    Cost += DomainCost;
+  return Cost * (1 + Spread * (2 * Dice.fraction() - 1));
+}
+
+void EndpointChooser::ended(const std::string &Id) {
+  auto Found = States.find(Id);
+  if (Found != States.end() && Found->second.Outstanding > 0)
+    --Found->second.Outstanding;
+}
+
+void EndpointChooser::reported(const std::string &Id,
+                               const EndpointReport &Report, TimePoint Now) {
+  State &Known = States[Id];
+  Known.Report = Report;
+  Known.OutstandingAtReport = Known.Outstanding;
+  Known.ReportedAt = Now;
+}
+
+void EndpointChooser::avoid(const std::string &Id, Duration Span,
+                            TimePoint Now) {
+  TimePoint &Until = States[Id].AvoidUntil;
+  Until = std::max(Until, Now + Span);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/chooser.h
@@ -0,0 +1,78 @@
+// EndpointChooser: which of a service's backend servers gets a request.
+//
+// The one where the request can be expected to end soonest, from what the
+// daemons beside the servers reported with their last replies (requests running
+// and waiting, time a request takes, share of failures) and from this daemon's
+// own requests under way. Reports lose weight with age, so that a server that
+// was slow or failing is tried again. Servers whose daemon cannot be reached,
+// and those that fail, come last. Pure deciding code.
+
+#ifndef CYCLAMENWIND_MESH_CHOOSER_H
+#define CYCLAMENWIND_MESH_CHOOSER_H
+
+#include "cyclamenwind/base/random.h"
+#include "cyclamenwind/mesh/endpoint.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenwind {
+
+// Load of a backend server, as the daemon beside it reports.
+struct EndpointReport {
+  int Running = 0;
+  int Queued = 0;
+  int Slots = 0;
+  Duration ServiceTime{}; // Zero if not known.
+  double FailureShare = 0;
+};
+
+class EndpointChooser {
+public:
+  EndpointChooser(std::string FailureDomain, Random &Dice)
+      : FailureDomain(std::move(FailureDomain)), Dice(Dice) {}
+
+  // One of Candidates that is not in Tried; null if there is none.
+  const MeshEndpoint *choose(const std::vector<const MeshEndpoint *> &Candidates,
+                             const std::set<std::string> &Tried, TimePoint Now);
+
+  // Whether all of Candidates are known not to take requests at Now.
+  bool allUnreachable(const std::vector<const MeshEndpoint *> &Candidates,
+                      TimePoint Now) const;
+
+  // A request was sent to Id, or has ended there.
+  void began(const std::string &Id) { ++States[Id].Outstanding; }
+  void ended(const std::string &Id);
+
+  void reported(const std::string &Id, const EndpointReport &Report,
+                TimePoint Now);
+
+  // Nothing came back from Id's daemon, or it refused for a reason that will
+  // last: Id is avoided for Span.
+  void avoid(const std::string &Id, Duration Span, TimePoint Now);
+
+  void forget(const std::string &Id) { States.erase(Id); }
+
+private:
+  struct State {
+    int Outstanding = 0;
+    int OutstandingAtReport = 0;
+    EndpointReport Report;
+    TimePoint ReportedAt;
+    TimePoint AvoidUntil;
+  };
+
+  bool avoided(const std::string &Id, TimePoint Now) const;
+  double cost(const MeshEndpoint &Candidate, double TypicalTime, TimePoint Now);
+  double typicalTime(const std::vector<const MeshEndpoint *> &Candidates) const;
+
+  std::string FailureDomain;
+  Random &Dice;
+  std::map<std::string, State> States;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/directory.cpp
@@ -0,0 +1,48 @@
+#include "cyclamenwind/mesh/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamenwind {
+
+bool Directory::merge(const MeshEndpoint &Record) {
+  auto Found = Endpoints.find(Record.Id);
+  if (Found != Endpoints.end() && !Record.supersedes(Found->second))
+    return false;
+  for (auto &[Id, Other] : Endpoints) {
+    bool SameServer = Other.Server == Record.Server && Id != Record.Id;
+    if (SameServer && Other.Born > Record.Born &&
+        Other.State != EndpointState::Gone)
+      return false; // A later server runs at this address.
+    if (SameServer && Other.Born <= Record.Born)
+      Other.State = EndpointState::Gone;
+  }
+  Endpoints[Record.Id] = Record;
+  return true;
+}
+
+void Directory::remove(const std::string &Id) { Endpoints.erase(Id); }
+
+const MeshEndpoint *Directory::find(const std::string &Id) const {
+  auto Found = Endpoints.find(Id);
+  return Found == Endpoints.end() ? nullptr : &Found->second;
+}
+
+std::vector<const MeshEndpoint *>
+Directory::ready(const std::string &Service) const {
+  std::vector<const MeshEndpoint *> Result;
+  for (const auto &[Id, Each] : Endpoints)
+    if (Each.Service == Service && Each.State == EndpointState::Ready)
+      Result.push_back(&Each);
+  return Result;
+}
+
+std::vector<Address> Directory::gates() const {
+  std::set<Address> Result;
+  for (const auto &[Id, Each] : Endpoints)
+    if (Each.State != EndpointState::Gone)
+      Result.insert(Each.Gate);
+  return {Result.begin(), Result.end()};
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/directory.h
@@ -0,0 +1,45 @@
+// Directory: the backend servers of all hosts, as this daemon knows them.
+//
+// Records come from the platform's store, from peers and from the servers
+// beside this daemon, in any order and more than once; the later one of an
+// incarnation wins. A new incarnation at a server's address replaces the old
+// one. Records of servers that left stay until they are removed, so that a
+// delayed record of the same incarnation does not bring them back. Pure.
+
+#ifndef CYCLAMENWIND_MESH_DIRECTORY_H
+#define CYCLAMENWIND_MESH_DIRECTORY_H
+
+#include "cyclamenwind/mesh/endpoint.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace cyclamenwind {
+
+class Directory {
+public:
+  // Takes a record; says whether it changed anything.
+  bool merge(const MeshEndpoint &Record);
+
+  // Forgets the server called Id.
+  void remove(const std::string &Id);
+
+  // The server called Id; null if it is not known.
+  const MeshEndpoint *find(const std::string &Id) const;
+
+  // All servers of Service that are Ready.
+  std::vector<const MeshEndpoint *> ready(const std::string &Service) const;
+
+  const std::map<std::string, MeshEndpoint> &all() const { return Endpoints; }
+
+  // The addresses of all daemons that a live record names.
+  std::vector<Address> gates() const;
+
+private:
+  std::map<std::string, MeshEndpoint> Endpoints;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -0,0 +1,462 @@
+#include "cyclamenwind/mesh/forwarder.h"
+
+#include "cyclamenwind/base/log.h"
+
+#include <algorithm>
+
+namespace cyclamenwind {
+namespace {
+
+// The final answer leaves this much before the caller's deadline or the route's
+// timeout, so that it arrives in time.
+constexpr Duration AnswerMargin = 15ms;
+// Gate refusals after which a request is refused as a whole.
+constexpr int MaxRefusals = 3;
+// How often attempts are checked for silent gates.
+constexpr Duration SilencePeriod = 100ms;
+// A gate that has not been heard for this long since an attempt was sent is
+// asked for a sign of life.
+constexpr Duration ProbeAfter = 200ms;
+// A gate that has not been heard for this long is taken to be unreachable. A
+// host's processor share may be used up for most of a tenth of a second.
+constexpr Duration SilentAfter = 500ms;
+// How long unreachable gates and servers are avoided.
+constexpr Duration AvoidUnreachable = 1500ms;
+constexpr Duration AvoidRefusing = 400ms;
+constexpr Duration AvoidStopping = 4s;
+// Bounds and default of Retry-After.
+constexpr Duration MinRetryDelay = 60ms;
+constexpr Duration MaxRetryDelay = 1s;
+constexpr Duration StartingRetryDelay = 300ms;
+// Callers honour a delay of up to this part of the time they have left.
+constexpr int RetryTimeDivisor = 3;
+constexpr double RetrySpread = 0.5;
+constexpr int FirstFailureStatus = 500;
+constexpr double Thousand = 1000;
+
+HttpResponse plainResponse(int Status, std::string_view Text) {
+  return {Status, {}, std::string(Text) + "\n"};
+}
+
+std::string_view pathOf(const HttpRequest &Request) { return Request.path(); }
+
+} // namespace
+
+Forwarder::Forwarder(const ForwarderOptions &Options, const WireFormat &Format)
+    : Options(Options), Format(Format), Allowance(Options.Retries) {}
+
+void Forwarder::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Dice = &Host.random();
+  Peers = &Host.find<PeerTransport>("peers");
+  LocalGate = &Host.find<Gate>("gate");
+  State = &Host.find<MeshState>("mesh_state");
+  Counters = &Host.find<Metrics>("metrics");
+  Chooser = std::make_unique<EndpointChooser>(Options.FailureDomain, *Dice);
+  NextAttempt = Dice->next() >> 2;
+  Peers->handle(FrameType::ForwardReply,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveReply(From, Payload);
+                });
+  Peers->onLinkDown(
+      [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
+  SilenceTimer = Timers->every(SilencePeriod, [this] { checkSilence(); });
+}
+
+void Forwarder::stop() {
+  SilenceTimer.reset();
+  Calls.clear();
+  Attempts.clear();
+}
+
+void Forwarder::accept(const ExchangePtr &Received) {
+  TimePoint Now = Time->now();
+  uint64_t Id = NextCall++;
+  Call &Added = Calls[Id];
+  Added.Caller = Received;
+  Added.Received = Now;
+  Added.Request = Received->takeRequest();
+  Added.Table = State->routes();
+  CallerTerms Terms = Format.takeCallerTerms(Added.Request.Headers);
+  Added.AttemptId = Terms.AttemptId;
+  if (!Added.Table) {
+    HttpResponse Refusal = plainResponse(503, "no configuration is known yet");
+    Refusal.Headers.push_back(Format.retryAfter(StartingRetryDelay));
+    finish(Id, std::move(Refusal), "no_config");
+    return;
+  }
+  const std::string *Host = findHeader(Added.Request.Headers, "Host");
+  Added.Route = Added.Table->match(Host == nullptr ? "" : *Host,
+                                   pathOf(Added.Request));
+  if (Added.Route == nullptr) {
+    finish(Id, plainResponse(404, "no route matches"), "no_route");
+    return;
+  }
+  if (Added.AttemptId.empty()) {
+    finish(Id, plainResponse(400, "the request has no attempt id"),
+           "no_attempt_id");
+    return;
+  }
+  Duration Allowed = Added.Route->Timeout;
+  if (Terms.Remaining)
+    Allowed = std::min(Allowed, *Terms.Remaining);
+  Added.FinalBy = Now + Allowed - AnswerMargin;
+  Received->onPeerGone([this, Id] { callerLeft(Id); });
+  Added.Timeout = Timers->after(std::max(Added.FinalBy - Now, Duration(0)),
+                                [this, Id] { timedOut(Id); });
+  dispatch(Id, /*Repeat=*/false);
+}
+
+// The service is drawn once for a request: a part of a split that is short of
+// room does not pass its requests to the others.
+const MeshEndpoint *Forwarder::chooseServer(Call &Chosen, TimePoint Now) {
+  if (Chosen.Service.empty()) {
+    double Total = 0;
+    for (const WeightedService &Each : Chosen.Route->Targets)
+      Total += Each.Weight;
+    double Drawn = Dice->fraction() * Total;
+    for (const WeightedService &Each : Chosen.Route->Targets) {
+      Chosen.Service = Each.Service;
+      Drawn -= Each.Weight;
+      if (Drawn < 0)
+        break;
+    }
+    Allowance.countFirst(Chosen.Service, Now);
+  }
+  std::vector<const MeshEndpoint *> Eligible = State->rollouts().eligible(
+      Chosen.Service, State->directory().ready(Chosen.Service), *Dice);
+  return Chooser->choose(Eligible, Chosen.Tried, Now);
+}
+
+void Forwarder::dispatch(uint64_t Id, bool Repeat) {
+  TimePoint Now = Time->now();
+  Call &Present = Calls.at(Id);
+  const MeshEndpoint *Target = chooseServer(Present, Now);
+  if (Target == nullptr) {
+    if (Present.Attempts.empty())
+      endWithoutAnswer(Id);
+    return;
+  }
+  if (Repeat)
+    logInfo("request_repeated", {{"request", Present.AttemptId},
+                                 {"server", Target->Id},
+                                 {"cause", nameOf(Present.LastReason)},
+                                 {"arrivals", Present.Arrivals}});
+  send(Id, *Target, Now);
+}
+
+void Forwarder::send(uint64_t Id, const MeshEndpoint &Target, TimePoint Now) {
+  Call &Present = Calls.at(Id);
+  uint64_t Number = NextAttempt++;
+  Attempt &Added = Attempts[Number];
+  Added.CallId = Id;
+  Added.EndpointId = Target.Id;
+  Added.Gate = Target.Gate;
+  Added.Sent = Now;
+  Present.Tried.insert(Target.Id);
+  Present.Attempts.insert(Number);
+  Chooser->began(Target.Id);
+  wire::ForwardRequest Message = messageFor(Present, Number, Target, Now);
+  if (Target.Gate == Peers->self()) {
+    Added.LocalTicket = LocalGate->submit(
+        std::move(Message), [this, Number](wire::ForwardReply Reply) {
+          attemptEnded(Number, std::move(Reply));
+        });
+    return;
+  }
+  Peers->sendMessage(Target.Gate, FrameType::ForwardRequest, Message);
+}
+
+wire::ForwardRequest Forwarder::messageFor(const Call &Sent,
+                                           uint64_t AttemptNumber,
+                                           const MeshEndpoint &Target,
+                                           TimePoint Now) const {
+  wire::ForwardRequest Message;
+  Message.id = static_cast<int64_t>(AttemptNumber);
+  Message.instanceId = Target.Id;
+  Message.serviceName = Sent.Service;
+  Message.callerService = Options.CallerService;
+  Message.attemptId = Sent.AttemptId;
+  Message.method = Sent.Request.Method;
+  Message.target = Sent.Request.Target;
+  for (const HttpHeader &Each : Sent.Request.Headers)
+    if (!isHopByHop(Each.Name)) {
+      wire::Header &Added = Message.headers.emplace_back();
+      Added.name = Each.Name;
+      Added.value = Each.Value;
+    }
+  Message.body = Sent.Request.Body;
+  Message.remainingUs = (Sent.FinalBy - Now).count();
+  Message.objectiveUs = (Sent.Received + Sent.Route->Objective - Now).count();
+  Message.idempotent = Sent.Route->Idempotent;
+  Message.priority = Sent.Route->Priority;
+  Message.nested = Sent.Nested;
+  Message.route = Sent.Route->Name;
+  Message.configRevision = static_cast<int64_t>(Sent.Table->revision());
+  return Message;
+}
+
+void Forwarder::receiveReply(const Address &From, std::string_view Payload) {
+  Result<wire::ForwardReply, FrameError> Reply =
+      decodeMessage<wire::ForwardReply>(Payload);
+  if (!Reply) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  State->heardRevision(From,
+                       static_cast<uint64_t>(Reply.value().configRevision));
+  attemptEnded(static_cast<uint64_t>(Reply.value().id),
+               std::move(Reply.value()));
+}
+
+void Forwarder::attemptEnded(uint64_t Number, wire::ForwardReply Reply) {
+  auto Found = Attempts.find(Number);
+  if (Found == Attempts.end()) {
+    Counters->countLateReply();
+    return;
+  }
+  Attempt Ended = Found->second;
+  Attempts.erase(Found);
+  Chooser->ended(Ended.EndpointId);
+  learn(Ended, Reply, Time->now());
+  Calls.at(Ended.CallId).Attempts.erase(Number);
+  continueAfter(Ended.CallId, std::move(Reply));
+}
+
+void Forwarder::learn(const Attempt &Ended, const wire::ForwardReply &Reply,
+                      TimePoint Now) {
+  switch (gateReasonOf(Reply.reason).value_or(GateReason::None)) {
+  case GateReason::NoServer:
+  case GateReason::ConnectFailed:
+    Chooser->avoid(Ended.EndpointId, AvoidRefusing, Now);
+    return;
+  case GateReason::Leaving:
+  case GateReason::Stopping:
+  case GateReason::BadVersion:
+    Chooser->avoid(Ended.EndpointId, AvoidStopping, Now);
+    return;
+  default:
+    break;
+  }
+  if (Reply.limit > 0)
+    Chooser->reported(Ended.EndpointId,
+                      {Reply.running, Reply.queued, Reply.limit,
+                       Duration(Reply.serviceTimeUs),
+                       Reply.failurePermille / Thousand},
+                      Now);
+}
+
+bool Forwarder::mayRepeat(const Call &Failed, bool Arrived, TimePoint Now) {
+  if (Now >= Failed.FinalBy)
+    return false;
+  if (!Arrived)
+    return Failed.Refusals <= MaxRefusals;
+  return Failed.Arrivals < Failed.Route->MaxAttempts &&
+         Allowance.takeRepeat(Failed.Service, State->daemons(), Now);
+}
+
+// Decides what follows the end of an attempt.
+void Forwarder::continueAfter(uint64_t Id, wire::ForwardReply Reply) {
+  TimePoint Now = Time->now();
+  Call &Present = Calls.at(Id);
+  Present.LastReason =
+      gateReasonOf(Reply.reason).value_or(GateReason::BadAnswer);
+  Present.ExpectedWait = Duration(Reply.expectedWaitUs);
+  if (Reply.arrived)
+    ++Present.Arrivals;
+  bool Failed = Reply.outcome != wire::ForwardOutcome::ANSWERED ||
+                Reply.status >= FirstFailureStatus;
+  if (!Failed) {
+    answer(Id, Reply);
+    return;
+  }
+  bool NotRun = Reply.outcome == wire::ForwardOutcome::NOT_RUN;
+  if (!NotRun)
+    Present.MayHaveRun = true;
+  else if (!Reply.arrived)
+    ++Present.Refusals;
+  bool Safe = Present.Route->Idempotent ||
+              (NotRun && !Present.MayHaveRun && Present.Attempts.empty());
+  if (Reply.outcome == wire::ForwardOutcome::ANSWERED)
+    Present.Failure = std::move(Reply);
+  if (!Present.Attempts.empty())
+    return; // Another attempt may still bring an answer.
+  if (Safe && mayRepeat(Present, Reply.arrived, Now)) {
+    dispatch(Id, /*Repeat=*/true);
+    return;
+  }
+  if (Present.Failure)
+    answer(Id, wire::ForwardReply(*Present.Failure));
+  else
+    endWithoutAnswer(Id);
+}
+
+// Frames that were sent on a broken stream may have arrived, and the gate
+// answers over a new one.
+void Forwarder::linkDown(const Address &Peer, LinkEnd End) {
+  if (End == LinkEnd::Retired)
+    return;
+  std::vector<uint64_t> Affected;
+  for (const auto &[Number, Each] : Attempts)
+    if (Each.Gate == Peer && Each.LocalTicket == 0)
+      Affected.push_back(Number);
+  if (Affected.empty())
+    return;
+  logWarning("peer_lost", {{"peer", Peer.text()},
+                           {"requests", Affected.size()},
+                           {"delivered", int(End == LinkEnd::Lost)}});
+  TimePoint Now = Time->now();
+  for (uint64_t Number : Affected) {
+    auto Found = Attempts.find(Number);
+    if (Found == Attempts.end())
+      continue;
+    Chooser->avoid(Found->second.EndpointId, AvoidUnreachable, Now);
+    if (End == LinkEnd::NeverConnected) {
+      wire::ForwardReply Reply;
+      Reply.outcome = wire::ForwardOutcome::NOT_RUN;
+      Reply.reason = nameOf(GateReason::ConnectFailed);
+      attemptEnded(Number, std::move(Reply));
+    } else {
+      handleSilent(Number);
+    }
+  }
+}
+
+void Forwarder::checkSilence() {
+  TimePoint Now = Time->now();
+  std::vector<uint64_t> Silent;
+  std::set<Address> Probed;
+  for (auto &[Number, Each] : Attempts) {
+    if (Each.Silent || Each.LocalTicket != 0)
+      continue;
+    Duration Quiet = Now - std::max(Each.Sent, Peers->lastHeard(Each.Gate));
+    if (Quiet > SilentAfter)
+      Silent.push_back(Number);
+    else if (Quiet > ProbeAfter && Probed.insert(Each.Gate).second)
+      Peers->probe(Each.Gate);
+  }
+  for (uint64_t Number : Silent)
+    if (Attempts.count(Number) != 0)
+      handleSilent(Number);
+}
+
+// The gate may still answer; an idempotent request is also sent elsewhere.
+void Forwarder::handleSilent(uint64_t Number) {
+  Attempt &Waiting = Attempts.at(Number);
+  if (Waiting.Silent)
+    return;
+  Waiting.Silent = true;
+  TimePoint Now = Time->now();
+  uint64_t Id = Waiting.CallId;
+  Chooser->avoid(Waiting.EndpointId, AvoidUnreachable, Now);
+  Call &Present = Calls.at(Id);
+  Present.MayHaveRun = true;
+  Present.LastReason = GateReason::Lost;
+  logWarning("gate_silent", {{"request", Present.AttemptId},
+                             {"gate", Waiting.Gate.text()},
+                             {"server", Waiting.EndpointId}});
+  ++Present.Arrivals;
+  if (Present.Route->Idempotent && mayRepeat(Present, /*Arrived=*/true, Now))
+    dispatch(Id, /*Repeat=*/true);
+}
+
+void Forwarder::timedOut(uint64_t Id) {
+  Call &Present = Calls.at(Id);
+  if (!Present.Attempts.empty())
+    Present.MayHaveRun = true;
+  Present.LastReason = GateReason::TimedOut;
+  if (Present.Failure)
+    answer(Id, wire::ForwardReply(*Present.Failure));
+  else
+    endWithoutAnswer(Id);
+}
+
+void Forwarder::callerLeft(uint64_t Id) {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  logInfo("caller_left", {{"request", Found->second.AttemptId}});
+  cancelAttempts(Found->second);
+  Counters->countCall(Found->second.Route->Name, CallEnd::Unknown,
+                      CallReason::Cancelled);
+  Calls.erase(Found);
+}
+
+void Forwarder::cancelAttempts(Call &Ended) {
+  for (uint64_t Number : Ended.Attempts) {
+    auto Found = Attempts.find(Number);
+    if (Found == Attempts.end())
+      continue;
+    Attempt Cancelled = Found->second;
+    Attempts.erase(Found);
+    Chooser->ended(Cancelled.EndpointId);
+    if (Cancelled.LocalTicket != 0) {
+      LocalGate->cancel(Cancelled.LocalTicket);
+      continue;
+    }
+    wire::ForwardCancel Message;
+    Message.id = static_cast<int64_t>(Number);
+    Peers->sendMessage(Cancelled.Gate, FrameType::ForwardCancel, Message);
+  }
+  Ended.Attempts.clear();
+}
+
+void Forwarder::answer(uint64_t Id, const wire::ForwardReply &Reply) {
+  HttpResponse Response{Reply.status, {}, Reply.body};
+  for (const wire::Header &Each : Reply.headers)
+    Response.Headers.push_back({Each.name, Each.value});
+  finish(Id, std::move(Response), "answered");
+}
+
+Duration Forwarder::retryDelay(const Call &Refused, TimePoint Now) {
+  Duration Delay = std::clamp(Refused.ExpectedWait, MinRetryDelay, MaxRetryDelay);
+  Delay = Dice->jittered(Delay + Delay / 2, RetrySpread);
+  Duration Left = (Refused.FinalBy - Now) / RetryTimeDivisor;
+  return std::max(std::min(Delay, Left), Duration::zero());
+}
+
+void Forwarder::endWithoutAnswer(uint64_t Id) {
+  Call &Present = Calls.at(Id);
+  TimePoint Now = Time->now();
+  if (!Present.MayHaveRun) {
+    HttpResponse Refusal = plainResponse(503, nameOf(Present.LastReason));
+    Refusal.Headers.push_back(
+        Format.retryAfter(retryDelay(Present, Now)));
+    finish(Id, std::move(Refusal), nameOf(Present.LastReason));
+    return;
+  }
+  int Status = Now >= Present.FinalBy ? 504 : 502;
+  finish(Id, plainResponse(Status, nameOf(Present.LastReason)),
+         nameOf(Present.LastReason));
+}
+
+void Forwarder::finish(uint64_t Id, HttpResponse Response,
+                       std::string_view Outcome) {
+  auto Found = Calls.find(Id);
+  Call Ended = std::move(Found->second);
+  Calls.erase(Found);
+  cancelAttempts(Ended);
+  TimePoint Now = Time->now();
+  CallEnd End = CallEnd::Answered;
+  if (Outcome != "answered")
+    End = Ended.MayHaveRun ? CallEnd::Unknown : CallEnd::Refused;
+  std::string Route = Ended.Route == nullptr ? "" : Ended.Route->Name;
+  LogFields Fields = {{"request", Ended.AttemptId},
+                      {"route", Route},
+                      {"service", Ended.Service},
+                      {"status", Response.Status},
+                      {"outcome", Outcome},
+                      {"took_us", (Now - Ended.Received).count()},
+                      {"arrivals", Ended.Arrivals},
+                      {"refusals", Ended.Refusals},
+                      {"config", Ended.Table ? Ended.Table->revision() : 0}};
+  if (End == CallEnd::Answered && Response.Status < FirstFailureStatus)
+    logEvent(LogLevel::Debug, "request_answered", Fields);
+  else
+    logInfo("request_failed", Fields);
+  Counters->countCall(Route, End, CallReason::None);
+  Ended.Caller->reply(Response);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/gate.cpp
@@ -0,0 +1,407 @@
+#include "cyclamenwind/mesh/gate.h"
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/names.h"
+
+namespace cyclamenwind {
+namespace {
+
+// How often waiting requests are checked for those that cannot end in time.
+constexpr Duration ExpiryPeriod = 25ms;
+// A server that refused a connection is not asked again for this long.
+constexpr Duration DownTime = 400ms;
+// The server stops at the deadline; its answer to that still has to arrive.
+constexpr Duration AnswerMargin = 50ms;
+// A peer whose stream broke may connect anew and still want its answers.
+constexpr Duration PeerGrace = 350ms;
+constexpr int FirstFailureStatus = 500;
+constexpr double Thousand = 1000;
+
+constexpr std::array<EnumName<GateReason>, 13> ReasonNames = {{
+    {GateReason::None, "none"},
+    {GateReason::NoServer, "no_server"},
+    {GateReason::Leaving, "leaving"},
+    {GateReason::Stopping, "stopping"},
+    {GateReason::Overloaded, "overloaded"},
+    {GateReason::Expired, "expired"},
+    {GateReason::BadVersion, "bad_version"},
+    {GateReason::ConnectFailed, "connect_failed"},
+    {GateReason::Shed, "shed"},
+    {GateReason::BadAnswer, "bad_answer"},
+    {GateReason::Lost, "lost"},
+    {GateReason::TimedOut, "timed_out"},
+    {GateReason::Cancelled, "cancelled"},
+}};
+
+wire::ForwardReply replyOf(wire::ForwardOutcome::type Outcome,
+                           GateReason Reason, bool Arrived) {
+  wire::ForwardReply Reply;
+  Reply.outcome = Outcome;
+  Reply.reason = nameOf(Reason);
+  Reply.arrived = Arrived;
+  return Reply;
+}
+
+// Statuses that tell a caller that its request has not run.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+} // namespace
+
+std::string_view nameOf(GateReason Reason) {
+  return nameIn(ReasonNames, Reason);
+}
+
+std::optional<GateReason> gateReasonOf(std::string_view Name) {
+  return valueIn(ReasonNames, Name);
+}
+
+void Gate::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Peers = &Host.find<PeerTransport>("peers");
+  Peers->handle(FrameType::ForwardRequest,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveRequest(From, Payload);
+                });
+  Peers->handle(FrameType::ForwardCancel,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveCancel(From, Payload);
+                });
+  Peers->onLinkDown(
+      [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
+  ExpiryTimer = Timers->every(ExpiryPeriod, [this] { expireQueues(); });
+}
+
+void Gate::stop() {
+  ExpiryTimer.reset();
+  Abandoning.clear();
+  Requests.clear();
+}
+
+void Gate::serverChanged(const MeshEndpoint &Record) {
+  auto [Position, IsNew] = Beside.emplace(
+      Record.Id, Server{Record, GateQueue(Record.Slots), {}, {}, false});
+  Server &Changed = Position->second;
+  if (!IsNew && Changed.Record.Born != Record.Born)
+    Changed.Failures = {};
+  Changed.Record = Record;
+  Changed.Silent = false;
+  Changed.Queue.resize(Record.Slots);
+  if (Record.State == EndpointState::Ready) {
+    Changed.DownUntil = TimePoint();
+    return;
+  }
+  for (GateTicket Each : Changed.Queue.withdrawAll())
+    refuse(Each, GateReason::Leaving, /*Arrived=*/false);
+}
+
+void Gate::serverSilent(const std::string &Id) {
+  auto Found = Beside.find(Id);
+  if (Found == Beside.end())
+    return;
+  Found->second.Silent = true;
+  for (GateTicket Each : Found->second.Queue.withdrawAll())
+    refuse(Each, GateReason::NoServer, /*Arrived=*/false);
+}
+
+// A request may name an incarnation that has been replaced: nothing was sent to
+// it yet, so the present one of the same service and version may run it.
+Gate::Server *Gate::serverFor(const wire::ForwardRequest &Message) {
+  auto Named = Beside.find(Message.instanceId);
+  if (Named != Beside.end() &&
+      Named->second.Record.Service == Message.serviceName)
+    return &Named->second;
+  return nullptr;
+}
+
+GateReason Gate::admissible(const Server *Target, TimePoint Now) const {
+  if (Stopping)
+    return GateReason::Stopping;
+  if (Target == nullptr || Target->Silent)
+    return GateReason::NoServer;
+  if (Target->Record.State != EndpointState::Ready)
+    return GateReason::Leaving;
+  if (Now < Target->DownUntil)
+    return GateReason::ConnectFailed;
+  if (VersionAllowed &&
+      !VersionAllowed(Target->Record.Service, Target->Record.Version))
+    return GateReason::BadVersion;
+  return GateReason::None;
+}
+
+GateTicket Gate::submit(wire::ForwardRequest Message, ForwardDone Done) {
+  GateTicket Ticket = NextTicket++;
+  TimePoint Now = Time->now();
+  Server *Target = serverFor(Message);
+  Request &Added = Requests[Ticket];
+  Added.Done = std::move(Done);
+  Added.Received = Now;
+  Added.Deadline = Now + Duration(Message.remainingUs);
+  Added.InstanceId = Message.instanceId;
+  Added.Message = std::move(Message);
+  GateReason Reason = admissible(Target, Now);
+  if (Reason == GateReason::None) {
+    GateOffer Offer{Ticket,
+                    Added.Message.route,
+                    Added.Message.nested,
+                    Added.Message.priority,
+                    Now + Duration(Added.Message.objectiveUs),
+                    Added.Deadline};
+    GateVerdict Verdict = Target->Queue.offer(Offer, Now);
+    if (Verdict == GateVerdict::Run)
+      run(Ticket);
+    if (Verdict != GateVerdict::Refused)
+      return Ticket;
+    Reason = GateReason::Overloaded;
+  }
+  Timers->defer([this, Ticket, Reason] {
+    if (Requests.count(Ticket) != 0)
+      refuse(Ticket, Reason, /*Arrived=*/false);
+  });
+  return Ticket;
+}
+
+HttpRequest Gate::requestFor(const Request &Running, TimePoint Now) const {
+  const wire::ForwardRequest &Message = Running.Message;
+  HttpRequest Http{Message.method, Message.target, {}, Message.body};
+  for (const wire::Header &Each : Message.headers)
+    Http.Headers.push_back({Each.name, Each.value});
+  Format.addServerTerms(Http.Headers,
+                        {Message.attemptId, Running.InstanceId,
+                         Message.callerService, Running.Deadline - Now});
+  return Http;
+}
+
+void Gate::run(GateTicket Ticket) {
+  Request &Running = Requests.at(Ticket);
+  Server &Target = Beside.at(Running.InstanceId);
+  TimePoint Now = Time->now();
+  Running.Started = Now;
+  Duration Remaining = Running.Deadline - Now;
+  if (Remaining <= Duration::zero()) {
+    Timers->defer([this, Ticket] {
+      auto Found = Requests.find(Ticket);
+      if (Found == Requests.end())
+        return;
+      Server &Late = Beside.at(Found->second.InstanceId);
+      GateTurns Turns = Late.Queue.finished(Ticket, false, Time->now());
+      refuse(Ticket, GateReason::Expired, /*Arrived=*/false);
+      perform(Turns);
+    });
+    return;
+  }
+  Running.Call = Servers->send(
+      Target.Record.Server, requestFor(Running, Now), Remaining + AnswerMargin,
+      [this, Ticket](Result<HttpResponse, HttpClientError> Outcome) {
+        completed(Ticket, std::move(Outcome));
+      });
+}
+
+void Gate::completed(GateTicket Ticket,
+                     Result<HttpResponse, HttpClientError> Outcome) {
+  TimePoint Now = Time->now();
+  Request &Ended = Requests.at(Ticket);
+  Server &From = Beside.at(Ended.InstanceId);
+  wire::ForwardReply Reply;
+  if (!Outcome) {
+    bool Sent = Outcome.error().Sent;
+    GateReason Reason = GateReason::Lost;
+    if (Outcome.error().Code == HttpClientErrorCode::TimedOut)
+      Reason = GateReason::TimedOut;
+    else if (Outcome.error().Code == HttpClientErrorCode::BadResponse ||
+             Outcome.error().Code == HttpClientErrorCode::ResponseTooLarge)
+      Reason = GateReason::BadAnswer;
+    else if (!Sent)
+      Reason = GateReason::ConnectFailed;
+    Reply = replyOf(Sent ? wire::ForwardOutcome::UNKNOWN
+                         : wire::ForwardOutcome::NOT_RUN,
+                    Reason, Sent);
+  } else {
+    HttpResponse &Response = Outcome.value();
+    AnswerTerms Terms = Format.readAnswer(Response);
+    constexpr int FirstRedirect = 300;
+    bool Success = Response.Status < FirstRedirect;
+    if (Terms.NotRun) {
+      Reply = replyOf(wire::ForwardOutcome::NOT_RUN, GateReason::Shed,
+                      /*Arrived=*/true);
+    } else if (Terms.Encoded || (Success && !Terms.Signed) ||
+               (promisesNotRun(Response.Status) && !Terms.Signed)) {
+      Reply = replyOf(wire::ForwardOutcome::UNKNOWN, GateReason::BadAnswer,
+                      /*Arrived=*/true);
+    } else {
+      Reply = replyOf(wire::ForwardOutcome::ANSWERED, GateReason::None,
+                      /*Arrived=*/true);
+      Reply.status = Response.Status;
+      for (HttpHeader &Each : Response.Headers)
+        if (!isHopByHop(Each.Name)) {
+          wire::Header &Added = Reply.headers.emplace_back();
+          Added.name = std::move(Each.Name);
+          Added.value = std::move(Each.Value);
+        }
+      Reply.body = std::move(Response.Body);
+    }
+  }
+  judge(From, Ended, Reply, Now);
+  bool Answered = Reply.outcome == wire::ForwardOutcome::ANSWERED;
+  GateTurns Turns = From.Queue.finished(Ticket, Answered, Now);
+  finish(Ticket, std::move(Reply));
+  perform(Turns);
+}
+
+// Draws conclusions about the server from the end of a request.
+void Gate::judge(Server &From, const Request &Ended,
+                 const wire::ForwardReply &Reply, TimePoint Now) {
+  bool Failed = Reply.outcome != wire::ForwardOutcome::ANSWERED ||
+                Reply.status >= FirstFailureStatus;
+  From.Failures.count(Failed);
+  if (Reply.reason == nameOf(GateReason::ConnectFailed)) {
+    From.DownUntil = Now + DownTime;
+    logWarning("server_unreachable", {{"server", From.Record.Id},
+                                      {"request", Ended.Message.attemptId}});
+    return;
+  }
+  Outcomes.count(
+      {From.Record.Service, From.Record.Version, Ended.Message.route}, Failed,
+      Now - Ended.Started);
+}
+
+void Gate::perform(const GateTurns &Turns) {
+  for (GateTicket Each : Turns.Expired)
+    refuse(Each, GateReason::Expired, /*Arrived=*/false);
+  for (GateTicket Each : Turns.Run)
+    if (Requests.count(Each) != 0)
+      run(Each);
+}
+
+void Gate::expireQueues() {
+  TimePoint Now = Time->now();
+  for (auto &[Id, Each] : Beside)
+    if (Each.Queue.queued() > 0)
+      perform(Each.Queue.expire(Now));
+}
+
+void Gate::refuse(GateTicket Ticket, GateReason Reason, bool Arrived) {
+  finish(Ticket, replyOf(wire::ForwardOutcome::NOT_RUN, Reason, Arrived));
+}
+
+void Gate::describe(const Server *From, wire::ForwardReply &Reply) const {
+  if (ConfigRevision)
+    Reply.configRevision = ConfigRevision();
+  if (From == nullptr)
+    return;
+  Reply.running = From->Queue.running();
+  Reply.queued = From->Queue.queued();
+  Reply.limit = From->Queue.slots();
+  Reply.serviceTimeUs = From->Queue.serviceTime().count();
+  Reply.expectedWaitUs = From->Queue.expectedWait().count();
+  Reply.failurePermille =
+      static_cast<int32_t>(From->Failures.value() * Thousand);
+}
+
+void Gate::finish(GateTicket Ticket, wire::ForwardReply Reply) {
+  auto Found = Requests.find(Ticket);
+  if (Found == Requests.end())
+    return;
+  Request Ended = std::move(Found->second);
+  Requests.erase(Found);
+  TimePoint Now = Time->now();
+  bool Ran = Ended.Started != TimePoint();
+  Reply.id = Ended.Message.id;
+  Reply.waitedUs = ((Ran ? Ended.Started : Now) - Ended.Received).count();
+  Reply.ranUs = Ran ? (Now - Ended.Started).count() : 0;
+  auto Server = Beside.find(Ended.InstanceId);
+  describe(Server == Beside.end() ? nullptr : &Server->second, Reply);
+  LogFields Fields = {{"request", Ended.Message.attemptId},
+                      {"server", Ended.InstanceId},
+                      {"reason", Reply.reason},
+                      {"status", Reply.status},
+                      {"arrived", int(Reply.arrived)},
+                      {"waited_us", Reply.waitedUs},
+                      {"ran_us", Reply.ranUs},
+                      {"running", Reply.running},
+                      {"queued", Reply.queued},
+                      {"wait_expected_us", Reply.expectedWaitUs}};
+  if (Reply.outcome == wire::ForwardOutcome::ANSWERED)
+    logEvent(LogLevel::Debug, "gate_answered", Fields);
+  else
+    logInfo("gate_refused", Fields);
+  if (Ended.Done)
+    Ended.Done(std::move(Reply));
+}
+
+void Gate::cancel(GateTicket Ticket) {
+  auto Found = Requests.find(Ticket);
+  if (Found == Requests.end())
+    return;
+  Request Ended = std::move(Found->second);
+  Requests.erase(Found);
+  auto From = Beside.find(Ended.InstanceId);
+  if (From == Beside.end())
+    return;
+  logInfo("gate_cancelled", {{"request", Ended.Message.attemptId},
+                             {"server", Ended.InstanceId}});
+  if (!From->second.Queue.withdraw(Ticket))
+    perform(From->second.Queue.finished(Ticket, false, Time->now()));
+}
+
+void Gate::receiveRequest(const Address &From, std::string_view Payload) {
+  Result<wire::ForwardRequest, FrameError> Message =
+      decodeMessage<wire::ForwardRequest>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  if (HeardRevision)
+    HeardRevision(From, Message.value().configRevision);
+  std::pair<Address, int64_t> Key(From, Message.value().id);
+  FromPeers[Key] =
+      submit(std::move(Message.value()), [this, Key](wire::ForwardReply Reply) {
+        FromPeers.erase(Key);
+        Peers->sendMessage(Key.first, FrameType::ForwardReply, Reply);
+      });
+}
+
+void Gate::receiveCancel(const Address &From, std::string_view Payload) {
+  Result<wire::ForwardCancel, FrameError> Message =
+      decodeMessage<wire::ForwardCancel>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  auto Found = FromPeers.find({From, Message.value().id});
+  if (Found == FromPeers.end())
+    return;
+  GateTicket Ticket = Found->second;
+  FromPeers.erase(Found);
+  cancel(Ticket);
+}
+
+// The peer may be dead, and then nobody waits, or connect anew.
+void Gate::linkDown(const Address &Peer, LinkEnd End) {
+  if (End == LinkEnd::Retired)
+    return;
+  auto First = FromPeers.lower_bound({Peer, INT64_MIN});
+  if (First == FromPeers.end() || First->first.first != Peer)
+    return;
+  Abandoning[Peer] = Timers->after(PeerGrace, [this, Peer] {
+    if (!Peers->linkUp(Peer))
+      abandonPeer(Peer);
+  });
+}
+
+void Gate::abandonPeer(const Address &Peer) {
+  std::vector<GateTicket> Given;
+  for (auto Each = FromPeers.lower_bound({Peer, INT64_MIN});
+       Each != FromPeers.end() && Each->first.first == Peer; ++Each) {
+    auto Found = Requests.find(Each->second);
+    // What may not be repeated is brought to its end.
+    if (Found != Requests.end() && Found->second.Message.idempotent)
+      Given.push_back(Each->second);
+  }
+  for (GateTicket Each : Given)
+    cancel(Each);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/gate_queue.h
@@ -0,0 +1,109 @@
+// GateQueue: which requests a backend server runs now, later or not at all.
+//
+// The daemon beside a server runs as many requests on it as it has slots.
+// Others wait if they can be expected to end within their latency objective:
+// requests that the server's peers send while they run one of their own go
+// first, since they hold a slot there, then the more urgent priority, then the
+// earlier arrival. One turn in FairnessTurns goes to the request that has
+// waited longest, so that no kind starves. A request that cannot end in time is
+// refused at once, and one that can no longer do so while it waits.
+//
+// The time a request takes is estimated by an exponential average of those that
+// ended. Pure deciding code.
+
+#ifndef CYCLAMENWIND_MESH_GATE_QUEUE_H
+#define CYCLAMENWIND_MESH_GATE_QUEUE_H
+
+#include "cyclamenwind/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace cyclamenwind {
+
+using GateTicket = uint64_t;
+
+enum class GateVerdict { Run, Queued, Refused };
+
+struct GateOffer {
+  GateTicket Ticket = 0;
+  std::string Route;
+  bool Nested = false;
+  int Priority = 0;
+  TimePoint Objective; // When an answer loses most of its worth.
+  TimePoint Deadline;  // When nobody waits for the answer any more.
+};
+
+// Requests whose turn has come, and those that are refused after all.
+struct GateTurns {
+  std::vector<GateTicket> Run;
+  std::vector<GateTicket> Expired;
+};
+
+class GateQueue {
+public:
+  explicit GateQueue(int Slots) : Slots(Slots) {}
+
+  GateVerdict offer(const GateOffer &Offer, TimePoint Now);
+
+  // A running request has ended. Completed: it took its normal course, so its
+  // time counts for the estimate.
+  GateTurns finished(GateTicket Ticket, bool Completed, TimePoint Now);
+
+  // Refuses waiting requests that can no longer end in time.
+  GateTurns expire(TimePoint Now);
+
+  // Takes out a waiting request; says whether it was waiting.
+  bool withdraw(GateTicket Ticket);
+
+  // Takes out all waiting requests.
+  std::vector<GateTicket> withdrawAll();
+
+  void resize(int NewSlots) { Slots = NewSlots; }
+
+  int running() const { return static_cast<int>(Running.size()); }
+  int queued() const { return static_cast<int>(Order.size()); }
+  int slots() const { return Slots; }
+
+  // Expected time of a request, once it runs.
+  Duration serviceTime() const { return Average.value_or(Duration::zero()); }
+
+  // Expected wait of a request that comes now and is not nested.
+  Duration expectedWait() const;
+
+private:
+  // Nested first, then priority, then arrival.
+  using Key = std::tuple<bool, int, uint64_t>;
+  struct Waiting {
+    Key Position;
+    GateOffer Offer;
+  };
+  struct Started {
+    std::string Route;
+    TimePoint At;
+  };
+
+  Duration timeOf(const std::string &Route) const;
+  Duration waitBehind(size_t Ahead) const;
+  void startWaiting(TimePoint Now, GateTurns &Turns);
+  GateTicket takeNext();
+  static constexpr int FairnessTurns = 6;
+
+  int Slots;
+  uint64_t Arrivals = 0;
+  int TurnsSinceOldest = 0;
+  std::map<GateTicket, Started> Running;
+  std::map<GateTicket, Waiting> Queue;
+  std::set<std::pair<Key, GateTicket>> Order;
+  std::optional<Duration> Average;
+  std::map<std::string, Duration> RouteAverage;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -0,0 +1,236 @@
+#include "cyclamenwind/mesh/mesh_daemon.h"
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/http/pooled_client.h"
+#include "cyclamenwind/mesh/forwarder.h"
+#include "cyclamenwind/mesh/gate.h"
+#include "cyclamenwind/mesh/mesh_state.h"
+#include "cyclamenwind/mesh/peer_sync.h"
+#include "cyclamenwind/mesh/rollout_driver.h"
+#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/peer/tcp_transport.h"
+#include "cyclamenwind/store/service.h"
+
+#include <random>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration StopCheckPeriod = 50ms;
+// Callers are sent elsewhere after two missed questions, a second apart; until
+// then they still open connections.
+constexpr Duration AcceptWhileStopping = 3200ms;
+// What still runs is cut this long before the process would be killed.
+constexpr Duration StopMargin = 400ms;
+// Part of the memory that one request's body may take.
+constexpr size_t BodyMemoryDivisor = 16;
+constexpr size_t DefaultBodyBytes = 4 * 1024 * 1024;
+// Of the platform's rates, for one daemon: a few calls at once at the start and
+// when many records change.
+constexpr double CallsPerSecond = 20;
+constexpr int CallBurst = 40;
+constexpr Duration PlatformTimeout = 2s;
+
+uint64_t freshSeed() {
+  std::random_device Source;
+  return (uint64_t(Source()) << 32) | Source();
+}
+
+PlatformSettings platformSettings() {
+  PlatformSettings Options;
+  Options.CallsPerSecond = CallsPerSecond;
+  Options.Burst = CallBurst;
+  Options.Timeout = PlatformTimeout;
+  return Options;
+}
+
+// A response answers the request whose attempt id it echoes; one without an id
+// cannot be told apart.
+ResponseMatcher matcherFor(const WireFormat &Format) {
+  return [&Format](const HttpRequest &Request, const HttpResponse &Response) {
+    std::string Answered = Format.readAnswer(Response).AttemptId;
+    if (Answered.empty())
+      return true;
+    HttpHeaders Headers = Request.Headers;
+    return Format.takeCallerTerms(Headers).AttemptId == Answered;
+  };
+}
+
+size_t bodyLimit(const HostSettings &Settings) {
+  return Settings.MemoryBytes == 0
+             ? DefaultBodyBytes
+             : Settings.MemoryBytes / BodyMemoryDivisor;
+}
+
+} // namespace
+
+MeshDaemon::MeshDaemon(Loop &TheLoop, const HostSettings &Settings,
+                       const MeshAdapters &Adapters,
+                       std::unique_ptr<PlatformClient> Platform)
+    : TheLoop(TheLoop), Settings(Settings), Adapters(Adapters),
+      Dice(freshSeed()), Services(TheLoop, TheLoop, Dice) {
+  auto Store = std::make_unique<PlatformService>(
+      std::move(Platform), TheLoop, platformSettings(), Dice);
+  PlatformClient &Client = *Store;
+  PooledClientOptions Options;
+  Options.Parser.MaxBodyBytes = bodyLimit(Settings);
+  Options.Matches = matcherFor(Adapters.Format);
+  Services.add(std::move(Store));
+  Services.add(std::make_unique<Metrics>());
+  Services.add(std::make_unique<MeshState>());
+  Services.add(std::make_unique<Gate>(
+      std::make_unique<PooledClient>(TheLoop, std::move(Options)),
+      Adapters.Format));
+  Services.add(std::make_unique<Forwarder>(
+      ForwarderOptions{Settings.FailureDomain,
+                       Settings.ServerService,
+                       {Settings.RetryRatio, Settings.RetryExtra,
+                        Settings.RetryWindow}},
+      Adapters.Format));
+  Services.add(std::make_unique<StoreSync>(Client, Adapters.Codec));
+  Services.add(std::make_unique<Registry>(
+      RegistryOptions{Settings.Peers, Settings.ReportPeriod}));
+  Services.add(std::make_unique<PeerSync>(Adapters.Codec));
+  Services.add(std::make_unique<RolloutDriver>());
+}
+
+MeshDaemon::~MeshDaemon() { Services.stop(); }
+
+std::optional<Address> MeshDaemon::start() {
+  Result<std::unique_ptr<TcpTransport>, PeerTransportError> Transport =
+      TcpTransport::listen(TheLoop, Settings.Peers);
+  if (!Transport)
+    return Settings.Peers;
+  Services.add(std::move(Transport.value()));
+  Services.start();
+  auto &TheForwarder = Services.find<Forwarder>("forwarder");
+  auto &TheRegistry = Services.find<Registry>("registry");
+  auto &State = Services.find<MeshState>("mesh_state");
+  auto &TheGate = Services.find<Gate>("gate");
+  TheGate.VersionAllowed = [&State](const std::string &Service,
+                                    const std::string &Version) {
+    return State.rollouts().allowed(Service, Version);
+  };
+  TheGate.ConfigRevision = [&State] {
+    return static_cast<int64_t>(State.configRevision());
+  };
+  TheGate.HeardRevision = [&State](const Address &Peer, int64_t Revision) {
+    State.heardRevision(Peer, static_cast<uint64_t>(Revision));
+  };
+  State.onConfig([this] { applyLimits(); });
+  CallerServer = std::make_unique<PipelineServer>(
+      TheLoop, Settings.Callers, PipelineLimits(),
+      [&TheForwarder](const ExchangePtr &Received) {
+        TheForwarder.accept(Received);
+      });
+  ReadyServer = std::make_unique<PipelineServer>(
+      TheLoop, Settings.Readiness, PipelineLimits(),
+      [this](const ExchangePtr &Received) { answerReadiness(Received); });
+  ReportServer = std::make_unique<PipelineServer>(
+      TheLoop, Settings.Reports, PipelineLimits(),
+      [this, &TheRegistry](const ExchangePtr &Received) {
+        Adapters.Reports(TheRegistry, Received);
+      });
+  MetricsServer = std::make_unique<PipelineServer>(
+      TheLoop, Settings.Metrics, PipelineLimits(),
+      [this](const ExchangePtr &Received) { answerMetrics(Received); });
+  if (!CallerServer->ok())
+    return Settings.Callers;
+  if (!ReadyServer->ok())
+    return Settings.Readiness;
+  if (!ReportServer->ok())
+    return Settings.Reports;
+  if (!MetricsServer->ok())
+    return Settings.Metrics;
+  applyLimits();
+  logInfo("daemon_started", {{"callers", Settings.Callers.text()},
+                             {"peers", Settings.Peers.text()},
+                             {"service", Settings.ServerService},
+                             {"platform", Settings.Platform.text()}});
+  return std::nullopt;
+}
+
+void MeshDaemon::applyLimits() {
+  const RouteTablePtr &Routes =
+      Services.find<MeshState>("mesh_state").routes();
+  if (!Routes)
+    return;
+  const CallerLimits &Limits = Routes->config().Limits;
+  PipelineLimits Applied;
+  Applied.Parser.MaxHeaderBytes = Limits.MaxHeaderBytes;
+  Applied.Parser.MaxBodyBytes =
+      std::min(Limits.MaxBodyBytes, bodyLimit(Settings));
+  Applied.HeaderTimeout = Limits.HeaderTimeout;
+  Applied.IdleTimeout = Limits.IdleTimeout;
+  CallerServer->setLimits(Applied);
+}
+
+bool MeshDaemon::ready() {
+  return !StopBegun &&
+         Services.find<MeshState>("mesh_state").routes() != nullptr;
+}
+
+void MeshDaemon::answerReadiness(const ExchangePtr &Received) {
+  if (Received->request().path() != Adapters.ReadinessPath) {
+    Received->reply({404, {}, ""});
+    return;
+  }
+  Received->reply({ready() ? 200 : 503, {}, ""});
+}
+
+void MeshDaemon::answerMetrics(const ExchangePtr &Received) {
+  Received->reply({200,
+                   {{"Content-Type", "text/plain; version=0.0.4"}},
+                   Services.find<Metrics>("metrics").text()});
+}
+
+void MeshDaemon::reload(const HostSettings &Changed) {
+  bool Moved = Changed.Callers != Settings.Callers ||
+               Changed.Peers != Settings.Peers ||
+               Changed.Reports != Settings.Reports ||
+               Changed.Readiness != Settings.Readiness;
+  logInfo("settings_reloaded", {{"addresses_changed", int(Moved)}});
+  if (Moved)
+    logWarning("settings_need_restart", {{"name", Changed.Name}});
+}
+
+void MeshDaemon::shutdown() {
+  if (StopBegun)
+    return;
+  StopBegun = TheLoop.now();
+  logInfo("daemon_draining",
+          {{"requests", Services.find<Forwarder>("forwarder").active()}});
+  Services.find<Registry>("registry").announceStopping();
+  CallerServer->drain(/*CloseIdle=*/false);
+  StopTimer = TheLoop.every(StopCheckPeriod, [this] { checkDrained(); });
+}
+
+size_t MeshDaemon::unfinished() {
+  return Services.find<Forwarder>("forwarder").active() +
+         Services.find<Gate>("gate").active() + CallerServer->unfinished();
+}
+
+void MeshDaemon::checkDrained() {
+  TimePoint Now = TheLoop.now();
+  Duration Stopping = Now - *StopBegun;
+  if (Stopping >= Settings.StopLimit - StopMargin) {
+    logWarning("daemon_stopped",
+               {{"cause", "stop limit"}, {"requests_cut", unfinished()}});
+    TheLoop.stop();
+    return;
+  }
+  if (Stopping < AcceptWhileStopping)
+    return;
+  if (!Closed) {
+    Closed = true;
+    CallerServer->stopAccepting();
+    CallerServer->drain(/*CloseIdle=*/true);
+    Services.find<Gate>("gate").refuseNew();
+  }
+  if (unfinished() > 0)
+    return;
+  logInfo("daemon_stopped", {{"cause", "drained"}});
+  TheLoop.stop();
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -0,0 +1,73 @@
+// MeshDaemon: the daemon beside a backend server, assembled from the services
+// of the mesh.
+
+#ifndef CYCLAMENWIND_MESH_MESH_DAEMON_H
+#define CYCLAMENWIND_MESH_MESH_DAEMON_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/base/loop.h"
+#include "cyclamenwind/http/pipeline_server.h"
+#include "cyclamenwind/mesh/host_settings.h"
+#include "cyclamenwind/mesh/registry.h"
+#include "cyclamenwind/mesh/store_sync.h"
+#include "cyclamenwind/mesh/wire_format.h"
+#include "cyclamenwind/store/client.h"
+
+namespace cyclamenwind {
+
+// What the outside speaks; all of it outlives the daemon.
+struct MeshAdapters {
+  const WireFormat &Format;
+  const MeshCodec &Codec;
+  // Answers the requests of the backend server beside the daemon.
+  std::function<void(Registry &, const ExchangePtr &)> Reports;
+  // The path that asks for readiness.
+  std::string ReadinessPath;
+};
+
+class MeshDaemon {
+public:
+  MeshDaemon(Loop &TheLoop, const HostSettings &Settings,
+             const MeshAdapters &Adapters,
+             std::unique_ptr<PlatformClient> Platform);
+  ~MeshDaemon();
+  MeshDaemon(const MeshDaemon &) = delete;
+  MeshDaemon &operator=(const MeshDaemon &) = delete;
+
+  // Binds all addresses; the one that is in use, if any.
+  std::optional<Address> start();
+
+  // Leaves gracefully: is no longer ready, tells peers, finishes what runs, and
+  // stops the loop when nothing is left, or shortly before the stop limit.
+  void shutdown();
+
+  // The settings have changed while the daemon runs.
+  void reload(const HostSettings &Changed);
+
+  Kernel &kernel() { return Services; }
+
+private:
+  bool ready();
+  void answerReadiness(const ExchangePtr &Received);
+  void answerMetrics(const ExchangePtr &Received);
+  void applyLimits();
+  void checkDrained();
+  size_t unfinished();
+
+  Loop &TheLoop;
+  HostSettings Settings;
+  MeshAdapters Adapters;
+  Random Dice;
+  Kernel Services;
+  std::unique_ptr<PipelineServer> CallerServer;
+  std::unique_ptr<PipelineServer> ReadyServer;
+  std::unique_ptr<PipelineServer> ReportServer;
+  std::unique_ptr<PipelineServer> MetricsServer;
+  std::optional<TimePoint> StopBegun;
+  bool Closed = false; // Accepts no new connections of callers.
+  TimerHandle StopTimer;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -0,0 +1,50 @@
+#include "cyclamenwind/mesh/mesh_state.h"
+
+#include "cyclamenwind/base/log.h"
+
+namespace cyclamenwind {
+
+bool MeshState::apply(MeshConfig Config, std::string Text) {
+  if (Routes && Config.Revision <= Routes->revision())
+    return false;
+  logInfo("config_applied", {{"revision", Config.Revision},
+                             {"version", Config.Version},
+                             {"previous", configRevision()},
+                             {"routes", Config.Routes.size()}});
+  Routes = std::make_shared<const RouteTable>(std::move(Config));
+  ConfigText = std::move(Text);
+  for (const auto &Each : ConfigHandlers)
+    Each();
+  return true;
+}
+
+bool MeshState::merge(const MeshEndpoint &Record) {
+  if (!Servers.merge(Record))
+    return false;
+  logInfo("endpoint_changed", {{"server", Record.Id},
+                               {"service", Record.Service},
+                               {"version", Record.Version},
+                               {"state", nameOf(Record.State)},
+                               {"sequence", Record.Sequence},
+                               {"gate", Record.Gate.text()}});
+  for (const auto &Each : EndpointHandlers)
+    Each(Record);
+  return true;
+}
+
+void MeshState::setListed() {
+  if (Listed)
+    return;
+  Listed = true;
+  for (const auto &Each : ListedHandlers)
+    Each();
+}
+
+void MeshState::remove(const std::string &Id) {
+  if (Servers.find(Id) == nullptr)
+    return;
+  logInfo("endpoint_removed", {{"server", Id}});
+  Servers.remove(Id);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -0,0 +1,89 @@
+// MeshState: what this daemon believes about the mesh.
+//
+// The configuration in force, the backend servers, and the rollouts, with the
+// versions of each. Services read it and are told of changes; store_sync.h and
+// peer_sync.h keep it up to date. The configuration never goes back to an older
+// revision in the life of a process.
+
+#ifndef CYCLAMENWIND_MESH_MESH_STATE_H
+#define CYCLAMENWIND_MESH_MESH_STATE_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/mesh/config.h"
+#include "cyclamenwind/mesh/directory.h"
+#include "cyclamenwind/mesh/rollout.h"
+
+#include <vector>
+
+namespace cyclamenwind {
+
+// A service named "mesh_state".
+class MeshState final : public Service {
+public:
+  std::string_view name() const override { return "mesh_state"; }
+  void start(Kernel &) override {}
+
+  // Null before a configuration is known.
+  const RouteTablePtr &routes() const { return Routes; }
+  uint64_t configRevision() const { return Routes ? Routes->revision() : 0; }
+
+  // The configuration as the platform keeps it, for peers.
+  const std::string &configText() const { return ConfigText; }
+
+  // Takes a configuration; says whether it is newer than the one in force.
+  bool apply(MeshConfig Config, std::string Text);
+
+  const Directory &directory() const { return Servers; }
+
+  // Takes a record; says whether it changed anything.
+  bool merge(const MeshEndpoint &Record);
+  void remove(const std::string &Id);
+
+  // The platform's records of servers have been read in the life of this
+  // process.
+  bool endpointsListed() const { return Listed; }
+  void setListed();
+  void onListed(std::function<void()> Handler) {
+    ListedHandlers.push_back(std::move(Handler));
+  }
+
+  RolloutBook &rollouts() { return Rollouts; }
+  const RolloutBook &rollouts() const { return Rollouts; }
+
+  // Daemons that take part, this one included.
+  size_t daemons() const {
+    return std::max<size_t>(1, Servers.gates().size());
+  }
+
+  // A frame of Peer said that it has the configuration of Revision.
+  void heardRevision(const Address &Peer, uint64_t Revision) {
+    if (Revision > configRevision())
+      for (const auto &Each : BehindHandlers)
+        Each(Peer);
+  }
+  void onBehind(std::function<void(const Address &Peer)> Handler) {
+    BehindHandlers.push_back(std::move(Handler));
+  }
+
+  void onConfig(std::function<void()> Handler) {
+    ConfigHandlers.push_back(std::move(Handler));
+  }
+  void onEndpoint(std::function<void(const MeshEndpoint &)> Handler) {
+    EndpointHandlers.push_back(std::move(Handler));
+  }
+
+private:
+  RouteTablePtr Routes;
+  std::string ConfigText;
+  Directory Servers;
+  RolloutBook Rollouts;
+  bool Listed = false;
+  std::vector<std::function<void()>> ListedHandlers;
+  std::vector<std::function<void(const Address &)>> BehindHandlers;
+  std::vector<std::function<void()>> ConfigHandlers;
+  std::vector<std::function<void(const MeshEndpoint &)>> EndpointHandlers;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -0,0 +1,172 @@
+#include "cyclamenwind/mesh/peer_sync.h"
+
+#include "cyclamenwind/base/log.h"
+
+#include <algorithm>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration TickPeriod = 1s;
+// The platform's own word on a newer configuration is waited for this long.
+constexpr Duration BehindDelay = 250ms;
+// Between attempts to reach a daemon; doubled up to the limit.
+constexpr Duration ContactBase = 1s;
+constexpr int MaxContactDoublings = 3;
+constexpr Duration RemoveAfter = 30s;
+
+} // namespace
+
+void PeerSync::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Dice = &Host.random();
+  State = &Host.find<MeshState>("mesh_state");
+  Store = &Host.find<StoreSync>("store_sync");
+  Peers = &Host.find<PeerTransport>("peers");
+  Peers->handle(FrameType::EndpointAnnounce,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveAnnounce(From, Payload);
+                });
+  Peers->handle(FrameType::StatePull,
+                [this](const Address &From, std::string_view Payload) {
+                  receivePull(From, Payload);
+                });
+  Peers->handle(FrameType::StateReply,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveState(From, Payload);
+                });
+  State->onBehind([this](const Address &Peer) { behind(Peer); });
+  LastTick = TrustedFrom = Time->now();
+  Ticker = Timers->every(TickPeriod, [this] { tick(); });
+}
+
+void PeerSync::stop() {
+  Ticker.reset();
+  BehindTimer.reset();
+}
+
+void PeerSync::receiveAnnounce(const Address &From, std::string_view Payload) {
+  Result<wire::EndpointAnnounce, FrameError> Message =
+      decodeMessage<wire::EndpointAnnounce>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  for (const wire::EndpointRecord &Each : Message.value().endpoints)
+    if (std::optional<MeshEndpoint> Record = endpointOf(Each))
+      State->merge(*Record);
+}
+
+void PeerSync::receivePull(const Address &From, std::string_view Payload) {
+  Result<wire::StatePull, FrameError> Message =
+      decodeMessage<wire::StatePull>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  wire::StateReply Reply;
+  Reply.configRevision = static_cast<int64_t>(State->configRevision());
+  if (Reply.configRevision > Message.value().configRevision)
+    Reply.config = State->configText();
+  for (const auto &[Id, Each] : State->directory().all())
+    Reply.endpoints.push_back(recordOf(Each));
+  Peers->sendMessage(From, FrameType::StateReply, Reply);
+}
+
+void PeerSync::receiveState(const Address &From, std::string_view Payload) {
+  Result<wire::StateReply, FrameError> Message =
+      decodeMessage<wire::StateReply>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  wire::StateReply &Reply = Message.value();
+  auto Revision = static_cast<uint64_t>(Reply.configRevision);
+  if (!Reply.config.empty() && Revision > State->configRevision()) {
+    if (std::optional<MeshConfig> Config = Codec.config(Reply.config, Revision)) {
+      logInfo("config_from_peer",
+              {{"peer", From.text()}, {"revision", Revision}});
+      State->apply(std::move(*Config), std::move(Reply.config));
+    } else {
+      logError("config_unreadable",
+               {{"peer", From.text()}, {"revision", Revision}});
+    }
+  }
+  for (const wire::EndpointRecord &Each : Reply.endpoints)
+    if (std::optional<MeshEndpoint> Record = endpointOf(Each))
+      State->merge(*Record);
+}
+
+void PeerSync::pull(const Address &From) {
+  wire::StatePull Message;
+  Message.configRevision = static_cast<int64_t>(State->configRevision());
+  Peers->sendMessage(From, FrameType::StatePull, Message);
+}
+
+void PeerSync::behind(const Address &Peer) {
+  if (BehindTimer)
+    return;
+  uint64_t Before = State->configRevision();
+  BehindTimer = Timers->after(BehindDelay, [this, Peer, Before] {
+    TimerHandle Fired = std::move(BehindTimer);
+    if (State->configRevision() == Before)
+      pull(Peer);
+  });
+}
+
+void PeerSync::tick() {
+  TimePoint Now = Time->now();
+  if (Now - LastTick > 2 * TickPeriod)
+    TrustedFrom = Now;
+  LastTick = Now;
+  keepContact(Now);
+  removeDead(Now);
+  if (Store->configReachable() && Store->endpointsReachable())
+    return;
+  std::vector<Address> Linked = Peers->linked();
+  if (!Linked.empty())
+    pull(Linked[Dice->below(Linked.size())]);
+}
+
+void PeerSync::keepContact(TimePoint Now) {
+  for (const Address &Each : State->directory().gates()) {
+    if (Each == Peers->self())
+      continue;
+    auto [Position, IsNew] = Contacts.emplace(Each, Contact{Now, Now, 0});
+    Contact &Entry = Position->second;
+    if (Peers->linkUp(Each)) {
+      Entry.LastUp = Now;
+      Entry.Tries = 0;
+      continue;
+    }
+    if (Now < Entry.NextTry)
+      continue;
+    int Doublings = std::min(Entry.Tries++, MaxContactDoublings);
+    Entry.NextTry = Now + ContactBase * (1 << Doublings);
+    Peers->probe(Each);
+  }
+}
+
+void PeerSync::removeDead(TimePoint Now) {
+  std::vector<Address> Linked = Peers->linked();
+  bool Lowest = std::all_of(
+      Linked.begin(), Linked.end(),
+      [this](const Address &Each) { return Peers->self() < Each; });
+  if (!Lowest || Linked.empty() || !Store->endpointsReachable())
+    return;
+  std::vector<std::string> Dead;
+  for (const auto &[Id, Each] : State->directory().all()) {
+    auto Found = Contacts.find(Each.Gate);
+    if (Found == Contacts.end() || Each.Gate == Peers->self())
+      continue;
+    if (Now - std::max(Found->second.LastUp, TrustedFrom) >= RemoveAfter)
+      Dead.push_back(Id);
+  }
+  for (const std::string &Each : Dead) {
+    logWarning("endpoint_dead", {{"server", Each}});
+    Store->removeRecord(Each);
+  }
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/registry.cpp
@@ -0,0 +1,209 @@
+#include "cyclamenwind/mesh/registry.h"
+
+#include "cyclamenwind/base/log.h"
+
+#include <algorithm>
+
+namespace cyclamenwind {
+namespace {
+
+// Reports that a server may miss before it is taken to be dead. A report may
+// come seconds late.
+constexpr int MissedReports = 4;
+constexpr Duration SilenceCheckPeriod = 500ms;
+// A new process may have acknowledged in an earlier life that a server leaves:
+// it waits this long for the records of that.
+constexpr Duration RecordsWait = 1s;
+// An acknowledgement that takes a second counts as none.
+constexpr Duration AckLimit = 600ms;
+
+} // namespace
+
+void Registry::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  TheGate = &Host.find<Gate>("gate");
+  State = &Host.find<MeshState>("mesh_state");
+  Publisher = &Host.find<EndpointPublisher>("store_sync");
+  Peers = &Host.find<PeerTransport>("peers");
+  Started = LastCheck = Time->now();
+  State->onListed([this] { retryHeldReports(); });
+  SilenceTimer =
+      Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
+}
+
+// Whether Record is of the newest incarnation at its address and newer than
+// what is known, here or elsewhere, of that incarnation.
+bool Registry::isLater(const MeshEndpoint &Record) const {
+  for (const auto &[Id, Each] : State->directory().all()) {
+    if (Id == Record.Id) {
+      if (Each.Born != Record.Born) {
+        if (Each.Born > Record.Born)
+          return false;
+        continue;
+      }
+      // A server that leaves comes back as a new incarnation only.
+      bool Leaves = Each.State > EndpointState::Unreachable;
+      if (Record.Sequence <= Each.Sequence ||
+          (Leaves && Record.State < Each.State))
+        return false;
+    } else if (Each.Server == Record.Server && Each.Born > Record.Born) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void Registry::report(const ServerReport &Report,
+                      std::function<void()> Acknowledge) {
+  MeshEndpoint Record;
+  Record.Id = Report.Id;
+  Record.Service = Report.Service;
+  Record.Version = Report.Version;
+  Record.FailureDomain = Report.FailureDomain;
+  Record.Gate = Options.Gate;
+  Record.Server = Report.Server;
+  Record.Slots = Report.Slots;
+  Record.Born = Report.Born;
+  Record.Sequence = Report.Sequence;
+  Record.State =
+      Report.Draining ? EndpointState::Draining : EndpointState::Ready;
+  Record.WarmAt = Report.Born + milliseconds(Report.WarmupLeft);
+  if (!isLater(Record)) {
+    logInfo("report_ignored", {{"server", Report.Id},
+                               {"born", Report.Born},
+                               {"sequence", Report.Sequence}});
+    Acknowledge();
+    return;
+  }
+  bool RecordsUnread = !State->endpointsListed() &&
+                       Time->now() - Started < RecordsWait;
+  if (!Report.Draining && RecordsUnread) {
+    Held[Report.Id] = Report;
+    Acknowledge();
+    return;
+  }
+  Held.erase(Report.Id);
+  take(Record, std::move(Acknowledge));
+}
+
+void Registry::retryHeldReports() {
+  std::map<std::string, ServerReport> Reports;
+  Reports.swap(Held);
+  for (const auto &[Id, Each] : Reports)
+    report(Each, [] {});
+}
+
+void Registry::leave(const std::string &Id, int64_t Born,
+                     std::function<void()> Acknowledge) {
+  Held.erase(Id);
+  auto Found = Servers.find(Id);
+  const MeshEndpoint *Listed = State->directory().find(Id);
+  if (Found == Servers.end() && Listed == nullptr) {
+    logInfo("leave_of_unknown_server", {{"server", Id}});
+    Acknowledge();
+    return;
+  }
+  MeshEndpoint Record =
+      Found != Servers.end() ? Found->second.Record : *Listed;
+  if (Listed != nullptr && Listed->supersedes(Record))
+    Record = *Listed;
+  if (Born != 0 && Born < Record.Born) {
+    logInfo("leave_of_earlier_incarnation", {{"server", Id}, {"born", Born}});
+    Acknowledge();
+    return;
+  }
+  Record.State = EndpointState::Gone;
+  take(Record, std::move(Acknowledge));
+}
+
+void Registry::take(const MeshEndpoint &Record,
+                    std::function<void()> Acknowledge) {
+  Known &Entry = Servers[Record.Id];
+  bool Changed = !Entry.Announced || Entry.Silent ||
+                 Entry.Record.State != Record.State ||
+                 Entry.Record.Born != Record.Born ||
+                 Entry.Record.Slots != Record.Slots ||
+                 Entry.Record.Version != Record.Version ||
+                 Entry.Record.Server != Record.Server;
+  Entry.Record = Record;
+  Entry.LastHeard = Time->now();
+  Entry.Silent = false;
+  if (!Changed) {
+    Acknowledge();
+    return;
+  }
+  Entry.Announced = true;
+  logInfo("server_reported", {{"server", Record.Id},
+                              {"service", Record.Service},
+                              {"version", Record.Version},
+                              {"state", nameOf(Record.State)},
+                              {"born", Record.Born},
+                              {"sequence", Record.Sequence}});
+  TheGate->serverChanged(Record);
+  announce(Record);
+  if (Record.State == EndpointState::Ready) {
+    Publisher->publish(Record, [](bool) {});
+    Acknowledge();
+    return;
+  }
+  auto Once = std::make_shared<std::function<void()>>(std::move(Acknowledge));
+  auto AckOnce = [Once] {
+    std::function<void()> Action = std::move(*Once);
+    *Once = nullptr;
+    if (Action)
+      Action();
+  };
+  uint64_t Ack = NextAck++;
+  AckTimers[Ack] = Timers->after(AckLimit, [this, Ack, AckOnce] {
+    TimerHandle Fired = std::move(AckTimers[Ack]);
+    AckTimers.erase(Ack);
+    AckOnce();
+  });
+  Publisher->publish(Record, [AckOnce](bool) { AckOnce(); });
+}
+
+void Registry::announce(const MeshEndpoint &Record) {
+  State->merge(Record);
+  wire::EndpointAnnounce Message;
+  Message.endpoints.push_back(recordOf(Record));
+  for (const Address &Each : State->directory().gates())
+    if (Each != Options.Gate)
+      Peers->sendMessage(Each, FrameType::EndpointAnnounce, Message);
+}
+
+void Registry::announceStopping() {
+  for (auto &[Id, Each] : Servers) {
+    if (Each.Record.State != EndpointState::Ready)
+      continue;
+    MeshEndpoint Record = Each.Record;
+    Record.State = EndpointState::Unreachable;
+    announce(Record);
+  }
+}
+
+void Registry::checkSilence() {
+  TimePoint Now = Time->now();
+  // After a pause of this process the reports that came meanwhile are read
+  // first.
+  bool WasPaused = Now - LastCheck > 2 * SilenceCheckPeriod;
+  LastCheck = Now;
+  retryHeldReports();
+  if (WasPaused)
+    return;
+  for (auto &[Id, Each] : Servers) {
+    if (Each.Silent || Each.Record.State != EndpointState::Ready ||
+        Now - Each.LastHeard < Options.ReportPeriod * MissedReports)
+      continue;
+    Each.Silent = true;
+    logWarning("server_silent",
+               {{"server", Id},
+                {"silent_ms", milliseconds(Now - Each.LastHeard)}});
+    TheGate->serverSilent(Id);
+    MeshEndpoint Record = Each.Record;
+    Record.State = EndpointState::Unreachable;
+    announce(Record);
+  }
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/registry.h
@@ -0,0 +1,101 @@
+// Registry: the backend server beside this daemon, by its own liveness reports.
+//
+// A report counts if it is of the latest incarnation at its address and later
+// than what is known of that incarnation; a delayed one changes nothing. A
+// server that leaves is recorded on the platform before its report is
+// acknowledged, so that a daemon that is killed right after and starts anew
+// does not take a delayed report for a sign that the server is ready. If the
+// platform does not answer in time, the report is acknowledged all the same:
+// this daemon sends the server nothing more.
+
+#ifndef CYCLAMENWIND_MESH_REGISTRY_H
+#define CYCLAMENWIND_MESH_REGISTRY_H
+
+#include "cyclamenwind/base/kernel.h"
+#include "cyclamenwind/mesh/gate.h"
+#include "cyclamenwind/mesh/mesh_state.h"
+
+namespace cyclamenwind {
+
+// What a server says of itself.
+struct ServerReport {
+  std::string Id;
+  std::string Service;
+  Address Server;
+  std::string FailureDomain;
+  std::string Version;
+  int Slots = 0;
+  bool Draining = false;
+  Duration WarmupLeft{}; // How much longer it is slow.
+  int64_t Sequence = 0;
+  int64_t Born = 0; // Unix milliseconds; 0 if not said.
+};
+
+struct RegistryOptions {
+  Address Gate;           // This daemon, for other daemons.
+  Duration ReportPeriod;  // At which a server reports.
+};
+
+// Keeps a record on the platform; Done is called once it is there or the
+// attempt was given up.
+class EndpointPublisher {
+public:
+  virtual ~EndpointPublisher() = default;
+  virtual void publish(const MeshEndpoint &Record,
+                       std::function<void(bool Stored)> Done) = 0;
+};
+
+// A service named "registry".
+class Registry final : public Service {
+public:
+  explicit Registry(const RegistryOptions &Options) : Options(Options) {}
+
+  std::string_view name() const override { return "registry"; }
+  void start(Kernel &Host) override;
+  void stop() override { SilenceTimer.reset(); }
+
+  // Takes a report; Acknowledge is called when it may be acknowledged.
+  void report(const ServerReport &Report, std::function<void()> Acknowledge);
+
+  // The incarnation of the server called Id that started at Born (0 if not
+  // said) leaves.
+  void leave(const std::string &Id, int64_t Born,
+             std::function<void()> Acknowledge);
+
+  // This daemon stops: peers choose other servers.
+  void announceStopping();
+
+private:
+  struct Known {
+    MeshEndpoint Record;
+    TimePoint LastHeard;
+    bool Silent = false;
+    bool Announced = false; // By this process.
+  };
+
+  bool isLater(const MeshEndpoint &Record) const;
+  void retryHeldReports();
+  void take(const MeshEndpoint &Record, std::function<void()> Acknowledge);
+  void announce(const MeshEndpoint &Record);
+  void checkSilence();
+
+  RegistryOptions Options;
+  Clock *Time = nullptr;
+  Scheduler *Timers = nullptr;
+  Gate *TheGate = nullptr;
+  MeshState *State = nullptr;
+  EndpointPublisher *Publisher = nullptr;
+  PeerTransport *Peers = nullptr;
+  std::map<std::string, Known> Servers;
+  // Reports that came before the platform's records were read.
+  std::map<std::string, ServerReport> Held;
+  TimePoint Started;
+  TimePoint LastCheck;
+  std::map<uint64_t, TimerHandle> AckTimers;
+  uint64_t NextAck = 1;
+  TimerHandle SilenceTimer;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -0,0 +1,301 @@
+#include "cyclamenwind/mesh/store_sync.h"
+
+#include "cyclamenwind/base/backoff.h"
+#include "cyclamenwind/base/log.h"
+
+#include <set>
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration RetryBase = 150ms;
+constexpr Duration RetryLimit = 1s;
+// A delayed report of a server that left comes within seconds; its record is
+// kept for longer.
+constexpr Duration RemovalDelay = 20s;
+
+} // namespace
+
+void StoreSync::start(Kernel &Host) {
+  Time = &Host.clock();
+  Timers = &Host.scheduler();
+  Dice = &Host.random();
+  State = &Host.find<MeshState>("mesh_state");
+  auto Ignore = [](bool) {};
+  ConfigWatch = std::make_unique<KindWatch>(
+      Platform, *Timers, *Dice, KindWatchOptions{Codec.configPrefix()},
+      KindWatch::Handlers{
+          [this](const PlatformListing &Listing) {
+            for (const PlatformObject &Each : Listing.Objects)
+              takeConfig(Each);
+          },
+          [this](const PlatformChange &Change) {
+            if (!Change.Removed)
+              takeConfig(Change.Object);
+          },
+          Ignore});
+  RolloutWatch = std::make_unique<KindWatch>(
+      Platform, *Timers, *Dice, KindWatchOptions{Codec.rolloutPrefix()},
+      KindWatch::Handlers{
+          [this](const PlatformListing &Listing) {
+            for (const PlatformObject &Each : Listing.Objects)
+              takeRollout(Each);
+          },
+          [this](const PlatformChange &Change) {
+            if (Change.Removed)
+              State->rollouts().remove(
+                  Change.Object.Key.substr(Codec.rolloutPrefix().size()));
+            else
+              takeRollout(Change.Object);
+          },
+          Ignore});
+  EndpointWatch = std::make_unique<KindWatch>(
+      Platform, *Timers, *Dice, KindWatchOptions{Codec.endpointPrefix()},
+      KindWatch::Handlers{
+          [this](const PlatformListing &Listing) { endpointsListed(Listing); },
+          [this](const PlatformChange &Change) {
+            if (Change.Removed)
+              endpointRemoved(
+                  Change.Object.Key.substr(Codec.endpointPrefix().size()));
+            else
+              takeEndpoint(Change.Object);
+          },
+          Ignore});
+  ConfigWatch->start();
+  RolloutWatch->start();
+  EndpointWatch->start();
+}
+
+void StoreSync::stop() {
+  ConfigWatch.reset();
+  RolloutWatch.reset();
+  EndpointWatch.reset();
+  Publications.clear();
+  Removals.clear();
+}
+
+void StoreSync::takeConfig(const PlatformObject &Object) {
+  if (Object.Key != Codec.configKey() ||
+      Object.Version <= State->configRevision())
+    return;
+  std::optional<MeshConfig> Config =
+      Codec.config(Object.Value, Object.Version);
+  if (Config)
+    State->apply(std::move(*Config), Object.Value);
+  else
+    logError("config_unreadable",
+             {{"key", Object.Key}, {"revision", Object.Version}});
+}
+
+void StoreSync::takeRollout(const PlatformObject &Object) {
+  std::optional<RolloutOrder> Order = Codec.rolloutOrder(Object);
+  if (!Order) {
+    logWarning("rollout_unreadable", {{"key", Object.Key}});
+    return;
+  }
+  std::optional<RolloutStatus> Status = Codec.rolloutStatus(Object);
+  logInfo("rollout_seen",
+          {{"service", Order->Service},
+           {"version", Order->TargetVersion},
+           {"revision", Object.Version},
+           {"state", Status ? nameOf(Status->State) : "ordered"},
+           {"share", Status ? Status->Share : 0}});
+  State->rollouts().update(*Order, Status, Object.Version, Time->now());
+}
+
+void StoreSync::takeEndpoint(const PlatformObject &Object) {
+  std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
+  if (!Record || endpointKey(Record->Id) != Object.Key) {
+    logWarning("endpoint_unreadable", {{"key", Object.Key}});
+    return;
+  }
+  uint64_t &Version = Versions[Record->Id];
+  Version = std::max(Version, Object.Version);
+  State->merge(*Record);
+}
+
+void StoreSync::endpointsListed(const PlatformListing &Listing) {
+  std::set<std::string> Present;
+  for (const PlatformObject &Each : Listing.Objects) {
+    takeEndpoint(Each);
+    Present.insert(Each.Key.substr(Codec.endpointPrefix().size()));
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Id, Version] : Versions)
+    if (Present.count(Id) == 0)
+      Missing.push_back(Id);
+  for (const std::string &Each : Missing)
+    endpointRemoved(Each);
+  State->setListed();
+}
+
+// A record of a server beside this daemon that still runs is written anew.
+void StoreSync::endpointRemoved(const std::string &Id) {
+  Versions.erase(Id);
+  auto Own = Publications.find(Id);
+  if (Own != Publications.end() &&
+      Own->second.Record.State == EndpointState::Ready) {
+    Own->second.Stored = false;
+    write(Id);
+    return;
+  }
+  State->remove(Id);
+}
+
+void StoreSync::publish(const MeshEndpoint &Record,
+                        std::function<void(bool)> Done) {
+  Publication &Entry = Publications[Record.Id];
+  Entry.Record = Record;
+  Entry.Stored = false;
+  Entry.Waiting.push_back(std::move(Done));
+  write(Record.Id);
+}
+
+void StoreSync::write(const std::string &Id) {
+  Publication &Entry = Publications.at(Id);
+  if (Entry.Writing)
+    return;
+  Entry.Writing = true;
+  Entry.Retry.reset();
+  auto Version = Versions.find(Id);
+  Platform.write(endpointKey(Id), formatEndpoint(Entry.Record),
+                 Version == Versions.end() ? 0 : Version->second,
+                 [this, Id, Sequence = Entry.Record.Sequence,
+                  State = Entry.Record.State](
+                     Result<uint64_t, PlatformError> Outcome) {
+                   written(Id, Sequence, State, std::move(Outcome));
+                 });
+}
+
+void StoreSync::written(const std::string &Id, uint64_t Sequence,
+                        EndpointState WrittenState,
+                        Result<uint64_t, PlatformError> Outcome) {
+  auto Found = Publications.find(Id);
+  if (Found == Publications.end())
+    return;
+  Publication &Entry = Found->second;
+  Entry.Writing = false;
+  if (!Outcome) {
+    logWarning("endpoint_write_failed",
+               {{"server", Id}, {"error", nameOf(Outcome.error())}});
+    if (Outcome.error() == PlatformError::Conflict ||
+        Outcome.error() == PlatformError::NotFound ||
+        Outcome.error() == PlatformError::NoAnswer)
+      readBack(Id);
+    else
+      retryLater(Id);
+    return;
+  }
+  Entry.Failures = 0;
+  uint64_t &Version = Versions[Id];
+  Version = std::max(Version, Outcome.value());
+  bool Newest = static_cast<uint64_t>(Entry.Record.Sequence) == Sequence &&
+                Entry.Record.State == WrittenState;
+  if (!Newest) {
+    write(Id);
+    return;
+  }
+  Entry.Stored = true;
+  std::vector<std::function<void(bool)>> Waiting;
+  Waiting.swap(Entry.Waiting);
+  for (const auto &Each : Waiting)
+    Each(true);
+  if (WrittenState == EndpointState::Gone)
+    scheduleRemoval(Id);
+}
+
+// Learns the version of the record on the platform before the next attempt.
+void StoreSync::readBack(const std::string &Id) {
+  Publications.at(Id).Writing = true;
+  Platform.read(
+      endpointKey(Id), [this, Id](Result<PlatformObject, PlatformError> Read) {
+        auto Found = Publications.find(Id);
+        if (Found == Publications.end())
+          return;
+        Publication &Entry = Found->second;
+        Entry.Writing = false;
+        if (!Read && Read.error() != PlatformError::NotFound) {
+          retryLater(Id);
+          return;
+        }
+        if (!Read) {
+          Versions.erase(Id);
+          retryLater(Id);
+          return;
+        }
+        Versions[Id] = Read.value().Version;
+        std::optional<MeshEndpoint> Stored = parseEndpoint(Read.value().Value);
+        if (Stored && Stored->supersedes(Entry.Record)) {
+          logWarning("endpoint_superseded", {{"server", Id}});
+          State->merge(*Stored);
+          return;
+        }
+        bool Same = Stored && !Entry.Record.supersedes(*Stored);
+        if (Same)
+          written(Id, static_cast<uint64_t>(Entry.Record.Sequence),
+                  Entry.Record.State, Read.value().Version);
+        else
+          write(Id);
+      });
+}
+
+void StoreSync::retryLater(const std::string &Id) {
+  Publication &Entry = Publications.at(Id);
+  ++Entry.Failures;
+  Entry.Retry =
+      Timers->after(backoffDelay(Entry.Failures, RetryBase, RetryLimit, *Dice),
+                    [this, Id] { write(Id); });
+}
+
+void StoreSync::scheduleRemoval(const std::string &Id) {
+  Removals[Id] = Timers->after(RemovalDelay, [this, Id] {
+    TimerHandle Fired = std::move(Removals[Id]);
+    Removals.erase(Id);
+    auto Found = Publications.find(Id);
+    if (Found == Publications.end() ||
+        Found->second.Record.State != EndpointState::Gone)
+      return;
+    Publications.erase(Found);
+    removeRecord(Id);
+  });
+}
+
+void StoreSync::removeRecord(const std::string &Id) {
+  auto Version = Versions.find(Id);
+  if (Version == Versions.end())
+    return;
+  Platform.remove(endpointKey(Id), Version->second,
+                  [Id](Result<uint64_t, PlatformError> Outcome) {
+                    if (!Outcome)
+                      logWarning("endpoint_removal_failed",
+                                 {{"server", Id},
+                                  {"error", nameOf(Outcome.error())}});
+                  });
+}
+
+void StoreSync::writeRollout(const std::string &Service,
+                             const RolloutStatus &Next) {
+  const Rollout *Present = State->rollouts().find(Service);
+  if (Present == nullptr)
+    return;
+  std::string Key = Codec.rolloutPrefix() + Service;
+  logInfo("rollout_decided", {{"service", Service},
+                              {"version", Next.TargetVersion},
+                              {"state", nameOf(Next.State)},
+                              {"share", Next.Share},
+                              {"revision", Present->Revision},
+                              {"elapsed_ms", milliseconds(Next.Elapsed)}});
+  Platform.writeStatus(
+      Key, Codec.formatRolloutStatus(Next), Present->Revision,
+      [this, Service, Order = Present->Order,
+       Next](Result<uint64_t, PlatformError> Outcome) {
+        if (Outcome) {
+          State->rollouts().update(Order, Next, Outcome.value(), Time->now());
+          return;
+        }
+        logWarning("rollout_write_failed",
+                   {{"service", Service}, {"error", nameOf(Outcome.error())}});
+      });
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/mesh/store_sync.h
@@ -0,0 +1,112 @@
+// StoreSync: what the mesh keeps on the platform.
+//
+// Follows the operator's configuration and rollouts and the records of backend
+// servers, publishes the records of the servers beside this daemon, and writes
+// the status of rollouts. Every write is conditional on the version that was
+// read. A write without an answer is resolved by reading the object back.
+//
+// Nothing on the platform expires. The record of a server that left is removed
+// by the daemon that published it; that of a host that died without a word by
+// whichever daemon notices (peer_sync.h).
+
+#ifndef CYCLAMENWIND_MESH_STORE_SYNC_H
+#define CYCLAMENWIND_MESH_STORE_SYNC_H
+
+#include "cyclamenwind/mesh/mesh_state.h"
+#include "cyclamenwind/mesh/registry.h"
+#include "cyclamenwind/store/kind_watch.h"
+
+namespace cyclamenwind {
+
+// Decodes what operators keep on the platform.
+class MeshCodec {
+public:
+  virtual ~MeshCodec() = default;
+
+  virtual std::string configPrefix() const = 0;
+  virtual std::string configKey() const = 0;
+  virtual std::string rolloutPrefix() const = 0;
+  virtual std::string endpointPrefix() const = 0;
+
+  // Nothing if Text is not a configuration. Revision is the object's version.
+  virtual std::optional<MeshConfig> config(const std::string &Text,
+                                           uint64_t Revision) const = 0;
+  // Nothing if Object holds no order.
+  virtual std::optional<RolloutOrder>
+  rolloutOrder(const PlatformObject &Object) const = 0;
+  virtual std::optional<RolloutStatus>
+  rolloutStatus(const PlatformObject &Object) const = 0;
+  virtual std::string formatRolloutStatus(const RolloutStatus &Value) const = 0;
+};
+
+// A service named "store_sync".
+class StoreSync final : public Service, public EndpointPublisher {
+public:
+  StoreSync(PlatformClient &Platform, const MeshCodec &Codec)
+      : Platform(Platform), Codec(Codec) {}
+
+  std::string_view name() const override { return "store_sync"; }
+  void start(Kernel &Host) override;
+  void stop() override;
+
+  void publish(const MeshEndpoint &Record,
+               std::function<void(bool Stored)> Done) override;
+
+  // Removes the record of a server that no daemon reaches.
+  void removeRecord(const std::string &Id);
+
+  // Writes the next status of Service's rollout, if its object is unchanged.
+  void writeRollout(const std::string &Service, const RolloutStatus &Next);
+
+  // Whether the configuration is being followed.
+  bool configReachable() const {
+    return ConfigWatch && ConfigWatch->reachable();
+  }
+  bool endpointsReachable() const {
+    return EndpointWatch && EndpointWatch->reachable();
+  }
+
+private:
+  // One record of a server beside this daemon.
+  struct Publication {
+    MeshEndpoint Record;
+    bool Stored = false;
+    bool Writing = false;
+    int Failures = 0;
+    std::vector<std::function<void(bool)>> Waiting;
+    TimerHandle Retry;
+  };
+
+  void takeConfig(const PlatformObject &Object);
+  void takeRollout(const PlatformObject &Object);
+  void takeEndpoint(const PlatformObject &Object);
+  void endpointsListed(const PlatformListing &Listing);
+  void endpointRemoved(const std::string &Id);
+  void write(const std::string &Id);
+  void written(const std::string &Id, uint64_t Sequence, EndpointState State,
+               Result<uint64_t, PlatformError> Outcome);
+  void readBack(const std::string &Id);
+  void retryLater(const std::string &Id);
+  void scheduleRemoval(const std::string &Id);
+  std::string endpointKey(const std::string &Id) const {
+    return Codec.endpointPrefix() + Id;
+  }
+
+  PlatformClient &Platform;
+  const MeshCodec &Codec;
+  Clock *Time = nullptr;
+  Scheduler *Timers = nullptr;
+  Random *Dice = nullptr;
+  MeshState *State = nullptr;
+  std::unique_ptr<KindWatch> ConfigWatch;
+  std::unique_ptr<KindWatch> RolloutWatch;
+  std::unique_ptr<KindWatch> EndpointWatch;
+  // Versions of the records on the platform, as last seen.
+  std::map<std::string, uint64_t> Versions;
+  std::map<std::string, Publication> Publications;
+  std::map<std::string, TimerHandle> Removals;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/version_outcomes.h
@@ -0,0 +1,77 @@
+// VersionOutcomes: how the requests of each version of a service ended, by
+// route, and whether that speaks against a version.
+//
+// Counts are cumulative and come from several daemons: each reports its own,
+// and the newest report of a daemon's process replaces its earlier one. Pure.
+
+#ifndef CYCLAMENWIND_MESH_VERSION_OUTCOMES_H
+#define CYCLAMENWIND_MESH_VERSION_OUTCOMES_H
+
+#include "cyclamenwind/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace cyclamenwind {
+
+struct OutcomeCounts {
+  int64_t Answers = 0;
+  int64_t Failures = 0; // Among the answers.
+  int64_t TotalUs = 0;  // Time of the answers that are no failures.
+
+  void add(const OutcomeCounts &Other) {
+    Answers += Other.Answers;
+    Failures += Other.Failures;
+    TotalUs += Other.TotalUs;
+  }
+};
+
+struct OutcomeKey {
+  std::string Service;
+  std::string Version;
+  std::string Route;
+
+  bool operator<(const OutcomeKey &Other) const {
+    return std::tie(Service, Version, Route) <
+           std::tie(Other.Service, Other.Version, Other.Route);
+  }
+};
+
+using OutcomeTable = std::map<OutcomeKey, OutcomeCounts>;
+
+class VersionOutcomes {
+public:
+  void count(const OutcomeKey &Key, bool Failed, Duration Taken) {
+    OutcomeCounts &Counts = Table[Key];
+    ++Counts.Answers;
+    if (Failed)
+      ++Counts.Failures;
+    else
+      Counts.TotalUs += Taken.count();
+  }
+
+  const OutcomeTable &table() const { return Table; }
+
+private:
+  OutcomeTable Table;
+};
+
+enum class VersionVerdict {
+  Undecided,
+  Good, // Compared on enough answers.
+  Bad,
+};
+
+std::string_view nameOf(VersionVerdict Verdict);
+
+// Compares the answers of Version with those of the service's other versions,
+// route by route.
+VersionVerdict judgeVersion(const OutcomeTable &Table,
+                            const std::string &Service,
+                            const std::string &Version);
+
+} // namespace cyclamenwind
+
+#endif
--- /dev/null
+++ b/cyclamenwind/mesh/wire_format.h
@@ -0,0 +1,56 @@
+// WireFormat: how callers and backend servers express what HTTP itself does
+// not: the id of an attempt, its deadline, and whether a request was run.
+//
+// Abstract, so that the mesh does not know the names of headers.
+
+#ifndef CYCLAMENWIND_MESH_WIRE_FORMAT_H
+#define CYCLAMENWIND_MESH_WIRE_FORMAT_H
+
+#include "cyclamenwind/base/time.h"
+#include "cyclamenwind/http/message.h"
+
+#include <optional>
+#include <string>
+
+namespace cyclamenwind {
+
+// What a caller says of its request.
+struct CallerTerms {
+  std::string AttemptId; // Empty if absent.
+  std::optional<Duration> Remaining;
+};
+
+// What a backend server is told of a request.
+struct ServerTerms {
+  std::string AttemptId;
+  std::string InstanceId; // The incarnation that alone may run it.
+  std::string CallerService;
+  Duration Remaining{};
+};
+
+// What a backend server says of its answer.
+struct AnswerTerms {
+  std::string AttemptId; // Empty if absent.
+  bool NotRun = false;
+  bool Signed = false;
+  // The bytes are not the server's own: they were encoded on the way.
+  bool Encoded = false;
+};
+
+class WireFormat {
+public:
+  virtual ~WireFormat() = default;
+
+  // Reads and removes the caller's terms, and headers that only the mesh sets.
+  virtual CallerTerms takeCallerTerms(HttpHeaders &Headers) const = 0;
+  virtual void addServerTerms(HttpHeaders &Headers,
+                              const ServerTerms &Terms) const = 0;
+  virtual AnswerTerms readAnswer(const HttpResponse &Response) const = 0;
+
+  // Tells a caller to come back after Delay.
+  virtual HttpHeader retryAfter(Duration Delay) const = 0;
+};
+
+} // namespace cyclamenwind
+
+#endif
--- a/cyclamenwind/moves/keeper.h
+++ b/cyclamenwind/moves/keeper.h
@@ -12,7 +12,7 @@
 #include "cyclamenwind/base/random.h"
 #include "cyclamenwind/config/snapshot.h"
 #include "cyclamenwind/moves/machine.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 #include <functional>
 #include <map>
--- a/cyclamenwind/moves/service.h
+++ b/cyclamenwind/moves/service.h
@@ -14,7 +14,7 @@
 #include "cyclamenwind/moves/feed.h"
 #include "cyclamenwind/moves/keeper.h"
 #include "cyclamenwind/moves/spread.h"
-#include "cyclamenwind/platform/lease.h"
+#include "cyclamenwind/store/lease.h"
 
 #include <unordered_map>
 
--- a/cyclamenwind/operators/audit_roll_up.h
+++ b/cyclamenwind/operators/audit_roll_up.h
@@ -10,7 +10,7 @@
 #define CYCLAMENWIND_OPERATORS_AUDIT_ROLL_UP_H
 
 #include "cyclamenwind/operators/audit_objects.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
--- a/cyclamenwind/operators/audit_trail.h
+++ b/cyclamenwind/operators/audit_trail.h
@@ -13,7 +13,7 @@
 
 #include "cyclamenwind/operators/audit_objects.h"
 #include "cyclamenwind/operators/audit_roll_up.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 #include <deque>
 
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -48,6 +48,14 @@
   MoveEntries = 41,
   MoveEvidence = 42,
   MoveStanding = 43,
+  // Requests and shared state of a mesh.
+  ForwardRequest = 50,
+  ForwardReply = 51,
+  ForwardCancel = 52,
+  EndpointAnnounce = 53,
+  StatePull = 54,
+  StateReply = 55,
+  VersionEvidence = 56,
 };
 
 // A body of the largest size with its headers.
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -126,11 +126,32 @@
   count(Type, Payload.size());
 }
 
+TimePoint TcpTransport::lastHeard(const Address &To) const {
+  auto Found = ByPeer.find(To);
+  return Found == ByPeer.end() ? TimePoint() : Found->second->lastHeard();
+}
+
+void TcpTransport::probe(const Address &To) {
+  if (Leaving && ByPeer.count(To) == 0)
+    return;
+  wire::Heartbeat Beat;
+  Beat.sequence = ++HeartbeatSequence;
+  sendOn(linkTo(To), FrameType::Heartbeat, Beat);
+}
+
 bool TcpTransport::linkUp(const Address &To) const {
   auto Found = ByPeer.find(To);
   return Found != ByPeer.end() && Found->second->connected();
 }
 
+std::vector<Address> TcpTransport::linked() const {
+  std::vector<Address> Result;
+  for (const auto &[Peer, Each] : ByPeer)
+    if (Each->connected())
+      Result.push_back(Peer);
+  return Result;
+}
+
 FrameCount TcpTransport::sent(FrameType Type) const {
   return Counts[indexOf(Type)];
 }
@@ -144,6 +165,7 @@
   Link *TheLink = Created.get();
   Links[TheLink] = std::move(Created);
   ByPeer[To] = TheLink;
+  LastUsed[TheLink] = TheLoop.now();
   greetBack(*TheLink);
   return *TheLink;
 }
@@ -293,7 +315,9 @@
       continue;
     if (idle(*Each, Now))
       retire(*Each);
-    sendOn(*Each, FrameType::Heartbeat, Beat);
+    // What the peer sends anyway shows that it lives.
+    if (Now - Each->lastHeard() >= HeartbeatPeriod)
+      sendOn(*Each, FrameType::Heartbeat, Beat);
   }
   for (Link *Each : Ended)
     if (Links.count(Each) != 0)
--- a/cyclamenwind/peer/tcp_transport.h
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -50,7 +50,10 @@
             std::string_view Payload) override;
   void sendDatagram(const Address &To, FrameType Type,
                     std::string_view Payload) override;
+  TimePoint lastHeard(const Address &To) const override;
+  void probe(const Address &To) override;
   bool linkUp(const Address &To) const override;
+  std::vector<Address> linked() const override;
   FrameCount sent(FrameType Type) const override;
   const Address &self() const override { return Self; }
 
--- a/cyclamenwind/peer/transport.h
+++ b/cyclamenwind/peer/transport.h
@@ -12,6 +12,7 @@
 #include "cyclamenwind/peer/frame.h"
 
 #include <functional>
+#include <vector>
 
 namespace cyclamenwind {
 
@@ -51,9 +52,18 @@
   virtual void sendDatagram(const Address &To, FrameType Type,
                             std::string_view Payload) = 0;
 
+  // When something last came from To; the epoch if its stream is not up.
+  virtual TimePoint lastHeard(const Address &To) const = 0;
+
+  // Asks To for a sign of life on its stream.
+  virtual void probe(const Address &To) = 0;
+
   // Whether To's stream has been up and heard from recently.
   virtual bool linkUp(const Address &To) const = 0;
 
+  // Peers whose stream is up.
+  virtual std::vector<Address> linked() const = 0;
+
   // What was sent of Type on streams and in datagrams since the start.
   virtual FrameCount sent(FrameType Type) const = 0;
 
--- a/cyclamenwind/platform/budget.cpp
+++ b/cyclamenwind/store/budget.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/platform/budget.h"
+#include "cyclamenwind/store/budget.h"
 
 #include "cyclamenwind/base/backoff.h"
 
@@ -150,6 +150,15 @@
   });
 }
 
+void BudgetedPlatformClient::writeStatus(const std::string &Key,
+                                         const std::string &Status,
+                                         uint64_t IfVersion,
+                                         PlatformDone<uint64_t> Done) {
+  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
+    Inner.writeStatus(Key, Status, IfVersion, std::move(Finish));
+  });
+}
+
 void BudgetedPlatformClient::remove(const std::string &Key, uint64_t IfVersion,
                                     PlatformDone<uint64_t> Done) {
   submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
--- a/cyclamenwind/platform/budget.h
+++ b/cyclamenwind/store/budget.h
@@ -7,14 +7,14 @@
 // leave a reserve. After the platform refused a call or was not reached, all
 // calls wait for an exponential delay with jitter.
 
-#ifndef CYCLAMENWIND_PLATFORM_BUDGET_H
-#define CYCLAMENWIND_PLATFORM_BUDGET_H
+#ifndef CYCLAMENWIND_STORE_BUDGET_H
+#define CYCLAMENWIND_STORE_BUDGET_H
 
 #include "cyclamenwind/base/random.h"
 #include "cyclamenwind/base/scheduler.h"
 #include "cyclamenwind/base/settings.h"
-#include "cyclamenwind/platform/client.h"
-#include "cyclamenwind/platform/token_bucket.h"
+#include "cyclamenwind/store/client.h"
+#include "cyclamenwind/store/token_bucket.h"
 
 #include <array>
 #include <deque>
@@ -38,6 +38,8 @@
             PlatformDone<PlatformListing> Done) override;
   void write(const std::string &Key, const std::string &Value,
              uint64_t IfVersion, PlatformDone<uint64_t> Done) override;
+  void writeStatus(const std::string &Key, const std::string &Status,
+                   uint64_t IfVersion, PlatformDone<uint64_t> Done) override;
   void remove(const std::string &Key, uint64_t IfVersion,
               PlatformDone<uint64_t> Done) override;
   void watch(const std::string &Prefix, uint64_t Revision, Duration Wait,
--- a/cyclamenwind/platform/client.h
+++ b/cyclamenwind/store/client.h
@@ -10,8 +10,8 @@
 // effect: the caller reads the object back, and recognises its own write by the
 // operation id inside the value, before it tells anyone.
 
-#ifndef CYCLAMENWIND_PLATFORM_CLIENT_H
-#define CYCLAMENWIND_PLATFORM_CLIENT_H
+#ifndef CYCLAMENWIND_STORE_CLIENT_H
+#define CYCLAMENWIND_STORE_CLIENT_H
 
 #include "cyclamenwind/base/result.h"
 #include "cyclamenwind/base/time.h"
@@ -42,6 +42,7 @@
   std::string Key;
   uint64_t Version = 0;
   std::string Value;
+  std::string Status = {}; // Written apart from the value; often empty.
 };
 
 struct PlatformListing {
@@ -79,6 +80,11 @@
   virtual void write(const std::string &Key, const std::string &Value,
                      uint64_t IfVersion, PlatformDone<uint64_t> Done) = 0;
 
+  // Replaces the status of an object whose version is IfVersion; yields the new
+  // version. Status is a JSON text.
+  virtual void writeStatus(const std::string &Key, const std::string &Status,
+                           uint64_t IfVersion, PlatformDone<uint64_t> Done) = 0;
+
   // Removes if the object's version is IfVersion; yields the revision.
   virtual void remove(const std::string &Key, uint64_t IfVersion,
                       PlatformDone<uint64_t> Done) = 0;
--- /dev/null
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -0,0 +1,89 @@
+#include "cyclamenwind/store/kind_watch.h"
+
+#include "cyclamenwind/base/backoff.h"
+#include "cyclamenwind/base/log.h"
+
+namespace cyclamenwind {
+namespace {
+
+constexpr Duration RetryBase = 150ms;
+// Records of servers have to be back about two seconds after the platform
+// returns.
+constexpr Duration RetryLimit = 1s;
+
+} // namespace
+
+template <typename T>
+PlatformDone<T>
+KindWatch::guarded(std::function<void(Result<T, PlatformError>)> Done) {
+  return [Done = std::move(Done),
+          Guard = this->Alive](Result<T, PlatformError> Outcome) {
+    if (*Guard)
+      Done(std::move(Outcome));
+  };
+}
+
+void KindWatch::list() {
+  Platform.list(Options.Prefix,
+                guarded<PlatformListing>(
+                    [this](Result<PlatformListing, PlatformError> Outcome) {
+                      if (!Outcome) {
+                        failed(Outcome.error());
+                        return;
+                      }
+                      Revision = Outcome.value().Revision;
+                      Known = true;
+                      succeeded();
+                      Notify.Listed(Outcome.value());
+                      wait();
+                    }));
+}
+
+void KindWatch::wait() {
+  Platform.watch(Options.Prefix, Revision, Options.Wait,
+                 guarded<WatchBatch>([this](
+                                         Result<WatchBatch, PlatformError>
+                                             Outcome) {
+                   if (!Outcome) {
+                     failed(Outcome.error());
+                     return;
+                   }
+                   succeeded();
+                   Revision = std::max(Revision, Outcome.value().Revision);
+                   for (const PlatformChange &Each : Outcome.value().Changes)
+                     Notify.Changed(Each);
+                   bool Changed = !Outcome.value().Changes.empty();
+                   Next = Timers.after(Changed ? Options.Collect : Duration(0),
+                                       [this] { wait(); });
+                 }));
+}
+
+void KindWatch::failed(PlatformError Error) {
+  if (Error == PlatformError::WatchGap)
+    Known = false;
+  ++Failures;
+  if (!Lost && Error != PlatformError::WatchGap) {
+    Lost = true;
+    logWarning("platform_lost",
+               {{"prefix", Options.Prefix}, {"error", nameOf(Error)}});
+    Notify.Reachability(false);
+  }
+  Next = Timers.after(backoffDelay(Failures, RetryBase, RetryLimit, Dice),
+                      [this] {
+                        if (Known)
+                          wait();
+                        else
+                          list();
+                      });
+}
+
+void KindWatch::succeeded() {
+  Failures = 0;
+  if (!Lost)
+    return;
+  Lost = false;
+  logInfo("platform_regained", {{"prefix", Options.Prefix}});
+  Notify.Reachability(true);
+}
+
+} // namespace cyclamenwind
--- /dev/null
+++ b/cyclamenwind/store/kind_watch.h
@@ -0,0 +1,70 @@
+// KindWatch: keeps up with all objects under a prefix of the platform.
+//
+// Reads the listing, then waits for changes from its revision on. After a
+// failure it waits with backoff and continues; after a gap in the history it
+// reads the listing anew. Changes are collected for a short time between two
+// waits, so that a burst costs few calls.
+
+#ifndef CYCLAMENWIND_STORE_KIND_WATCH_H
+#define CYCLAMENWIND_STORE_KIND_WATCH_H
+
+#include "cyclamenwind/base/random.h"
+#include "cyclamenwind/base/scheduler.h"
+#include "cyclamenwind/store/client.h"
+
+namespace cyclamenwind {
+
+struct KindWatchOptions {
+  std::string Prefix;
+  // How long a wait for changes lasts at most.
+  Duration Wait = 25s;
+  // Pause after changes came, before the next wait.
+  Duration Collect = 200ms;
+};
+
+class KindWatch {
+public:
+  // What the owner is told.
+  struct Handlers {
+    std::function<void(const PlatformListing &)> Listed;
+    std::function<void(const PlatformChange &)> Changed;
+    // The platform was lost, or answers again.
+    std::function<void(bool Reachable)> Reachability;
+  };
+
+  KindWatch(PlatformClient &Platform, Scheduler &Timers, Random &Dice,
+            const KindWatchOptions &Options, Handlers Notify)
+      : Platform(Platform), Timers(Timers), Dice(Dice), Options(Options),
+        Notify(std::move(Notify)) {}
+  ~KindWatch() { *Alive = false; }
+  KindWatch(const KindWatch &) = delete;
+  KindWatch &operator=(const KindWatch &) = delete;
+
+  void start() { list(); }
+
+  bool reachable() const { return Failures == 0 && Known; }
+
+private:
+  void list();
+  void wait();
+  void failed(PlatformError Error);
+  void succeeded();
+  template <typename T>
+  PlatformDone<T> guarded(std::function<void(Result<T, PlatformError>)> Done);
+
+  PlatformClient &Platform;
+  Scheduler &Timers;
+  Random &Dice;
+  KindWatchOptions Options;
+  Handlers Notify;
+  uint64_t Revision = 0;
+  bool Known = false; // A listing was read and its history is not lost.
+  bool Lost = false;  // The owner was told that the platform is unreachable.
+  int Failures = 0;
+  TimerHandle Next;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cyclamenwind
+
+#endif
--- a/cyclamenwind/platform/lease.cpp
+++ b/cyclamenwind/store/lease.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/platform/lease.h"
+#include "cyclamenwind/store/lease.h"
 
 #include "cyclamenwind/base/log.h"
 
--- a/cyclamenwind/platform/lease.h
+++ b/cyclamenwind/store/lease.h
@@ -11,12 +11,12 @@
 // A write that was sent before a pause can still arrive after it. What must not
 // be changed by a former holder carries epoch() in a conditional update.
 
-#ifndef CYCLAMENWIND_PLATFORM_LEASE_H
-#define CYCLAMENWIND_PLATFORM_LEASE_H
+#ifndef CYCLAMENWIND_STORE_LEASE_H
+#define CYCLAMENWIND_STORE_LEASE_H
 
 #include "cyclamenwind/base/random.h"
 #include "cyclamenwind/base/scheduler.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
 
--- a/cyclamenwind/platform/service.h
+++ b/cyclamenwind/store/service.h
@@ -1,21 +1,21 @@
-// PlatformService: the HTTP platform client, within the daemon's budget, as the
-// service named "platform".
+// PlatformService: a platform client, within the daemon's budget, as the service
+// named "platform".
 
-#ifndef CYCLAMENWIND_PLATFORM_SERVICE_H
-#define CYCLAMENWIND_PLATFORM_SERVICE_H
+#ifndef CYCLAMENWIND_STORE_SERVICE_H
+#define CYCLAMENWIND_STORE_SERVICE_H
 
 #include "cyclamenwind/base/kernel.h"
-#include "cyclamenwind/platform/budget.h"
-#include "cyclamenwind/platform/http_client.h"
+#include "cyclamenwind/base/loop.h"
+#include "cyclamenwind/store/budget.h"
 
 namespace cyclamenwind {
 
 class PlatformService final : public Service, public PlatformClient {
 public:
-  PlatformService(Loop &TheLoop, const Address &Platform,
+  PlatformService(std::unique_ptr<PlatformClient> Inner, Loop &TheLoop,
                   const PlatformSettings &Options, Random &Dice)
-      : Client(TheLoop, Platform, Options.Timeout),
-        Budget(Client, TheLoop, TheLoop, Dice, Options) {}
+      : Client(std::move(Inner)),
+        Budget(*Client, TheLoop, TheLoop, Dice, Options) {}
 
   std::string_view name() const override { return "platform"; }
   void start(Kernel &) override {}
@@ -32,6 +32,10 @@
              uint64_t IfVersion, PlatformDone<uint64_t> Done) override {
     Budget.write(Key, Value, IfVersion, std::move(Done));
   }
+  void writeStatus(const std::string &Key, const std::string &Status,
+                   uint64_t IfVersion, PlatformDone<uint64_t> Done) override {
+    Budget.writeStatus(Key, Status, IfVersion, std::move(Done));
+  }
   void remove(const std::string &Key, uint64_t IfVersion,
               PlatformDone<uint64_t> Done) override {
     Budget.remove(Key, IfVersion, std::move(Done));
@@ -42,7 +46,7 @@
   }
 
 private:
-  HttpPlatformClient Client;
+  std::unique_ptr<PlatformClient> Client;
   BudgetedPlatformClient Budget;
 };
 
--- a/cyclamenwind/platform/token_bucket.h
+++ b/cyclamenwind/store/token_bucket.h
@@ -1,7 +1,7 @@
 // TokenBucket: a rate limit with a burst.
 
-#ifndef CYCLAMENWIND_PLATFORM_TOKEN_BUCKET_H
-#define CYCLAMENWIND_PLATFORM_TOKEN_BUCKET_H
+#ifndef CYCLAMENWIND_STORE_TOKEN_BUCKET_H
+#define CYCLAMENWIND_STORE_TOKEN_BUCKET_H
 
 #include "cyclamenwind/base/time.h"
 
--- a/cyclamenwind/traffic/claims.h
+++ b/cyclamenwind/traffic/claims.h
@@ -11,7 +11,7 @@
 #ifndef CYCLAMENWIND_TRAFFIC_CLAIMS_H
 #define CYCLAMENWIND_TRAFFIC_CLAIMS_H
 
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 #include "cyclamenwind/wire/gen-cpp/calls_types.h"
 
 #include <memory>
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -8,6 +8,7 @@
 
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/daemon/daemon.h"
+#include "platform/store_client.h"
 
 #include <csignal>
 #include <iostream>
@@ -25,7 +26,10 @@
   startLog(TheSettings.Log.Level, TheSettings.Member.Id);
   Loop TheLoop;
   Result<std::unique_ptr<Daemon>, DaemonError> Made =
-      Daemon::create(TheLoop, TheSettings);
+      Daemon::create(TheLoop, TheSettings,
+                     platform::makeStoreClient(
+                         TheLoop, TheSettings.Addresses.Platform,
+                         TheSettings.Platform.Timeout));
   if (!Made) {
     std::cerr << Made.error().text() << "\n";
     return AddressInUse;
--- a/testing/fake_peers.cpp
+++ b/testing/fake_peers.cpp
@@ -121,6 +121,22 @@
   return Network.connected(Self, To);
 }
 
+// A connected peer that is not paused always gives a sign of life.
+TimePoint FakePeers::lastHeard(const Address &To) const {
+  bool Heard = Network.connected(Self, To) && Network.Paused.count(To) == 0;
+  return Heard ? Network.Time.now() : TimePoint();
+}
+
+void FakePeers::probe(const Address &) {}
+
+std::vector<Address> FakePeers::linked() const {
+  std::vector<Address> Result;
+  for (const auto &[Other, Peers] : Network.Members)
+    if (Other != Self && Network.connected(Self, Other))
+      Result.push_back(Other);
+  return Result;
+}
+
 FrameCount FakePeers::sent(FrameType Type) const {
   return Counts[static_cast<uint8_t>(Type)];
 }
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -99,6 +99,18 @@
       true);
 }
 
+void FakePlatformClient::writeStatus(const std::string &Key,
+                                     const std::string &Status,
+                                     uint64_t IfVersion,
+                                     PlatformDone<uint64_t> Done) {
+  answer<uint64_t>(
+      std::move(Done),
+      [Store = &Shared.Store, Key, Status, IfVersion] {
+        return Store->writeStatus(Key, Status, IfVersion);
+      },
+      true);
+}
+
 void FakePlatformClient::remove(const std::string &Key, uint64_t IfVersion,
                                 PlatformDone<uint64_t> Done) {
   answer<uint64_t>(
--- a/testing/fake_platform.h
+++ b/testing/fake_platform.h
@@ -66,6 +66,8 @@
             PlatformDone<PlatformListing> Done) override;
   void write(const std::string &Key, const std::string &Value,
              uint64_t IfVersion, PlatformDone<uint64_t> Done) override;
+  void writeStatus(const std::string &Key, const std::string &Status,
+                   uint64_t IfVersion, PlatformDone<uint64_t> Done) override;
   void remove(const std::string &Key, uint64_t IfVersion,
               PlatformDone<uint64_t> Done) override;
   void watch(const std::string &Prefix, uint64_t Revision, Duration Wait,
--- a/testing/object_store.cpp
+++ b/testing/object_store.cpp
@@ -34,12 +34,27 @@
   uint64_t Present = Found == Objects.end() ? 0 : Found->second.Version;
   if (Present != IfVersion)
     return PlatformError::Conflict;
-  PlatformObject Written = {Key, ++Revision, Value};
+  std::string Status = Found == Objects.end() ? "" : Found->second.Status;
+  PlatformObject Written = {Key, ++Revision, Value, Status};
   Objects[Key] = Written;
   record({Written, false});
   return Revision;
 }
 
+Result<uint64_t, PlatformError>
+ObjectStore::writeStatus(const std::string &Key, const std::string &Status,
+                         uint64_t IfVersion) {
+  auto Found = Objects.find(Key);
+  if (Found == Objects.end())
+    return PlatformError::NotFound;
+  if (Found->second.Version != IfVersion)
+    return PlatformError::Conflict;
+  Found->second.Version = ++Revision;
+  Found->second.Status = Status;
+  record({Found->second, false});
+  return Revision;
+}
+
 Result<uint64_t, PlatformError> ObjectStore::remove(const std::string &Key,
                                                     uint64_t IfVersion) {
   auto Found = Objects.find(Key);
@@ -49,7 +64,7 @@
     return PlatformError::Conflict;
   Objects.erase(Found);
   ++Revision;
-  record({{Key, Revision, ""}, true});
+  record({{Key, Revision, "", ""}, true});
   return Revision;
 }
 
--- a/testing/object_store.h
+++ b/testing/object_store.h
@@ -3,7 +3,7 @@
 #ifndef CYCLAMENWIND_TESTING_OBJECT_STORE_H
 #define CYCLAMENWIND_TESTING_OBJECT_STORE_H
 
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 #include <deque>
 #include <map>
@@ -16,6 +16,9 @@
   PlatformListing list(const std::string &Prefix) const;
   Result<uint64_t, PlatformError>
   write(const std::string &Key, const std::string &Value, uint64_t IfVersion);
+  Result<uint64_t, PlatformError> writeStatus(const std::string &Key,
+                                              const std::string &Status,
+                                              uint64_t IfVersion);
   Result<uint64_t, PlatformError> remove(const std::string &Key,
                                          uint64_t IfVersion);
 
--- a/testing/pausable.h
+++ b/testing/pausable.h
@@ -5,7 +5,7 @@
 #define CYCLAMENWIND_TESTING_PAUSABLE_H
 
 #include "cyclamenwind/base/kernel.h"
-#include "cyclamenwind/platform/client.h"
+#include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind::testing {
 
@@ -55,6 +55,10 @@
              uint64_t IfVersion, PlatformDone<uint64_t> Done) override {
     Platform.write(Key, Value, IfVersion, answered(std::move(Done)));
   }
+  void writeStatus(const std::string &Key, const std::string &Status,
+                   uint64_t IfVersion, PlatformDone<uint64_t> Done) override {
+    Platform.writeStatus(Key, Status, IfVersion, answered(std::move(Done)));
+  }
   void remove(const std::string &Key, uint64_t IfVersion,
               PlatformDone<uint64_t> Done) override {
     Platform.remove(Key, IfVersion, answered(std::move(Done)));
--- a/testing/platform_server.cpp
+++ b/testing/platform_server.cpp
@@ -1,5 +1,7 @@
 #include "testing/platform_server.h"
 
+#include "platform/names.h"
+
 #include <cstdio>
 #include <cstdlib>
 
@@ -11,8 +13,10 @@
 namespace {
 
 using nlohmann::json;
+namespace names = platform::names;
 
-constexpr std::string_view ObjectsPath = "/objects";
+// Objects in one page of a listing.
+constexpr size_t PageItems = 50;
 
 void replyJson(const ExchangePtr &Received, int Status, const json &Body) {
   Received->reply({Status, {}, Body.dump()});
@@ -28,6 +32,8 @@
     return 410;
   case PlatformError::TooLarge:
     return 413;
+  case PlatformError::Malformed:
+    return 400;
   default:
     return 500;
   }
@@ -37,27 +43,53 @@
   replyJson(Received, statusOf(Error), {{"error", nameOf(Error)}});
 }
 
+// The object in the form in which the store answers it.
 json jsonOf(const PlatformObject &Object) {
-  return {{"key", Object.Key},
-          {"version", Object.Version},
-          {"value", Object.Value}};
+  std::string Name = Object.Key.substr(Object.Key.find('/') + 1);
+  json Node = {{names::Metadata,
+                {{names::ObjectName, Name}, {names::Revision, Object.Version}}},
+               {names::Spec, json::parse(Object.Value, nullptr, false)},
+               {names::Status, nullptr}};
+  if (!Object.Status.empty())
+    Node[names::Status] = json::parse(Object.Status);
+  if (Node[names::Spec].is_discarded())
+    Node[names::Spec] = nullptr;
+  return Node;
 }
 
 uint64_t numberIn(const HttpRequest &Request, const char *Name) {
   return std::strtoull(Request.queryValue(Name).c_str(), nullptr, 10);
 }
 
-// Key in "/objects/KEY"; empty for the listing.
-std::string keyOf(const HttpRequest &Request) {
-  std::string_view Path = Request.path().substr(ObjectsPath.size());
-  if (Path.empty())
-    return "";
-  std::string Encoded(Path.substr(1));
+std::string decoded(const std::string &Encoded) {
   size_t Length = 0;
-  char *Decoded = evhttp_uridecode(Encoded.c_str(), 0, &Length);
-  std::string Key(Decoded, Length);
-  std::free(Decoded);
-  return Key;
+  char *Text = evhttp_uridecode(Encoded.c_str(), 0, &Length);
+  std::string Result(Text, Length);
+  std::free(Text);
+  return Result;
+}
+
+// What the path names: "KIND", "KIND/NAME", or the latter's status.
+struct ObjectPath {
+  std::string Kind;
+  std::string Name;
+  bool IsStatus = false;
+
+  std::string key() const { return Kind + "/" + Name; }
+};
+
+ObjectPath objectPath(const HttpRequest &Request) {
+  constexpr std::string_view Root = names::ObjectsPath;
+  std::string Rest(Request.path().substr(Root.size()));
+  ObjectPath Result;
+  Result.IsStatus = Rest.ends_with(std::string("/") + names::Status);
+  if (Result.IsStatus)
+    Rest.resize(Rest.rfind('/'));
+  size_t Slash = Rest.find('/', 1);
+  Result.Kind = decoded(Rest.substr(1, Slash - 1));
+  if (Slash != std::string::npos)
+    Result.Name = decoded(Rest.substr(Slash + 1));
+  return Result;
 }
 
 } // namespace
@@ -85,7 +117,8 @@
     replyJson(Received, 200, Counts);
     return;
   }
-  ++Counts[Path == "/watch" ? "watch" : Received->request().Method];
+  bool Waits = !Received->request().queryValue(names::Watch).empty();
+  ++Counts[Waits ? "watch" : Received->request().Method];
   if (Outage) {
     Received->abandon();
     return;
@@ -104,42 +137,68 @@
 
 void PlatformServer::serve(const ExchangePtr &Received) {
   const HttpRequest &Request = Received->request();
-  if (Request.path() == "/watch") {
-    watch(Received);
-    return;
-  }
-  if (!Request.path().starts_with(ObjectsPath)) {
+  if (!Request.path().starts_with(names::ObjectsPath)) {
     replyError(Received, PlatformError::NotFound);
     return;
   }
-  std::string Key = keyOf(Request);
+  ObjectPath Path = objectPath(Request);
   if (Request.Method != "GET") {
-    write(Received, Key);
+    write(Received);
     return;
   }
-  if (!Key.empty()) {
-    Result<PlatformObject, PlatformError> Object = Store.read(Key);
+  if (!Request.queryValue(names::Watch).empty()) {
+    watch(Received);
+    return;
+  }
+  if (!Path.Name.empty()) {
+    Result<PlatformObject, PlatformError> Object = Store.read(Path.key());
     if (Object)
       replyJson(Received, 200, jsonOf(Object.value()));
     else
       replyError(Received, Object.error());
     return;
   }
-  PlatformListing Listing = Store.list(Request.queryValue("prefix"));
-  json Objects = json::array();
-  for (const PlatformObject &Each : Listing.Objects)
-    Objects.push_back(jsonOf(Each));
+  list(Received, Path.Kind + "/", Request.queryValue(names::After));
+}
+
+void PlatformServer::list(const ExchangePtr &Received,
+                          const std::string &Prefix,
+                          const std::string &After) {
+  PlatformListing Listing = Store.list(Prefix);
+  json Items = json::array();
+  bool HasMore = false;
+  for (const PlatformObject &Each : Listing.Objects) {
+    if (!After.empty() && Each.Key <= Prefix + After)
+      continue;
+    HasMore = Items.size() == PageItems;
+    if (HasMore)
+      break;
+    Items.push_back(jsonOf(Each));
+  }
   replyJson(Received, 200,
-            {{"revision", Listing.Revision}, {"objects", Objects}});
+            {{names::At, Listing.Revision},
+             {names::HasMore, HasMore},
+             {names::Items, Items}});
 }
 
-void PlatformServer::write(const ExchangePtr &Received,
-                           const std::string &Key) {
+void PlatformServer::write(const ExchangePtr &Received) {
   const HttpRequest &Request = Received->request();
-  uint64_t IfVersion = numberIn(Request, "if_version");
-  Result<uint64_t, PlatformError> Outcome =
-      Request.Method == "PUT" ? Store.write(Key, Request.Body, IfVersion)
-                              : Store.remove(Key, IfVersion);
+  ObjectPath Path = objectPath(Request);
+  json Body = json::parse(Request.Body, nullptr, false);
+  Result<uint64_t, PlatformError> Outcome = PlatformError::Malformed;
+  if (Request.Method == "DELETE") {
+    Outcome = Store.remove(Path.key(), numberIn(Request, names::Revision));
+  } else if (Body.is_object() && Body.contains(names::Metadata)) {
+    const json &Meta = Body[names::Metadata];
+    if (Request.Method == "POST")
+      Path.Name = Meta.value(names::ObjectName, "");
+    uint64_t IfVersion = Meta.value(names::Revision, uint64_t(0));
+    Outcome = Path.IsStatus
+                  ? Store.writeStatus(Path.key(), Body[names::Status].dump(),
+                                      IfVersion)
+                  : Store.write(Path.key(), Body[names::Spec].dump(),
+                                IfVersion);
+  }
   answerWrite(Received, Outcome);
   if (Outcome)
     wakeWatches();
@@ -153,20 +212,21 @@
     return;
   }
   if (Outcome)
-    replyJson(Received, 200, {{"version", Outcome.value()}});
+    replyJson(Received, 200,
+              {{names::Metadata, {{names::Revision, Outcome.value()}}}});
   else
     replyError(Received, Outcome.error());
 }
 
 void PlatformServer::watch(const ExchangePtr &Received) {
   const HttpRequest &Request = Received->request();
-  Waiting Added = {Received, Request.queryValue("prefix"),
-                   numberIn(Request, "after"), nullptr};
+  Waiting Added = {Received, objectPath(Request).Kind + "/",
+                   numberIn(Request, names::Watch), nullptr};
   if (answerWatch(Added, /*EvenIfEmpty=*/false))
     return;
   Watches.push_back(std::move(Added));
   auto Position = std::prev(Watches.end());
-  Duration Wait = std::chrono::milliseconds(numberIn(Request, "wait_ms"));
+  Duration Wait = std::chrono::milliseconds(numberIn(Request, names::WaitMs));
   Position->Timeout = TheLoop.after(Wait, [this, Position] {
     Waiting Expired = std::move(*Position);
     Watches.erase(Position);
@@ -185,13 +245,11 @@
   if (Batch.value().Changes.empty() && !EvenIfEmpty)
     return false;
   json Changes = json::array();
-  for (const PlatformChange &Each : Batch.value().Changes) {
-    json Node = jsonOf(Each.Object);
-    Node["removed"] = Each.Removed;
-    Changes.push_back(Node);
-  }
+  for (const PlatformChange &Each : Batch.value().Changes)
+    Changes.push_back({{names::Object, jsonOf(Each.Object)},
+                       {names::Deleted, Each.Removed}});
   replyJson(Watch.Received, 200,
-            {{"revision", Batch.value().Revision}, {"changes", Changes}});
+            {{names::At, Batch.value().Revision}, {names::Events, Changes}});
   return true;
 }
 
--- a/testing/platform_server.h
+++ b/testing/platform_server.h
@@ -1,5 +1,5 @@
-// PlatformServer: the platform's object API over HTTP, with switches for
-// faults.
+// PlatformServer: the API of the platform's metadata store over HTTP, with
+// switches for faults.
 //
 //   POST /control  {"outage": bool, "delay_ms": n, "lose_answers": n,
 //                   "compact": true}
@@ -35,7 +35,9 @@
   void accept(const ExchangePtr &Received);
   void serve(const ExchangePtr &Received);
   void control(const ExchangePtr &Received);
-  void write(const ExchangePtr &Received, const std::string &Key);
+  void list(const ExchangePtr &Received, const std::string &Prefix,
+            const std::string &After);
+  void write(const ExchangePtr &Received);
   void answerWrite(const ExchangePtr &Received,
                    Result<uint64_t, PlatformError> Outcome);
   void watch(const ExchangePtr &Received);
--- a/tests/config_budget_test.cpp
+++ b/tests/config_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/platform/budget.h"
+#include "cyclamenwind/store/budget.h"
 #include "testing/fake_platform.h"
 #include "testing/virtual_time.h"
 
--- a/tests/config_lease_test.cpp
+++ b/tests/config_lease_test.cpp
@@ -1,4 +1,4 @@
-#include "cyclamenwind/platform/lease.h"
+#include "cyclamenwind/store/lease.h"
 #include "testing/fake_platform.h"
 #include "testing/pausable.h"
 #include "testing/virtual_time.h"
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -4,6 +4,7 @@
 #include "cyclamenwind/daemon/daemon.h"
 #include "cyclamenwind/http/client.h"
 #include "testing/backend_standin.h"
+#include "platform/store_client.h"
 #include "testing/platform_server.h"
 
 #include <catch2/catch.hpp>
@@ -39,7 +40,8 @@
       : TheSettings(settingsOf(Host)),
         Platform(TheLoop, TheSettings.Addresses.Platform), Client(TheLoop, {}) {
     startLog(LogLevel::Error, "test");
-    TheDaemon = std::move(Daemon::create(TheLoop, TheSettings).value());
+    TheDaemon =
+        std::move(Daemon::create(TheLoop, TheSettings, storeClient()).value());
     TheDaemon->start();
     BackendOptions Options;
     Options.Listen = {Host, 8000};
@@ -50,6 +52,11 @@
     Server = std::make_unique<BackendStandin>(TheLoop, Options);
   }
 
+  std::unique_ptr<PlatformClient> storeClient() {
+    return platform::makeStoreClient(TheLoop, TheSettings.Addresses.Platform,
+                                     TheSettings.Platform.Timeout);
+  }
+
   void runFor(Duration Span) {
     TimerHandle Timer = TheLoop.after(Span, [this] { TheLoop.stop(); });
     TheLoop.run();
@@ -205,7 +212,8 @@
 TEST_CASE("an address in use is reported with its key") {
   Bench Running("127.50.1.5");
   Result<std::unique_ptr<Daemon>, DaemonError> Second =
-      Daemon::create(Running.TheLoop, Running.TheSettings);
+      Daemon::create(Running.TheLoop, Running.TheSettings,
+                     Running.storeClient());
   REQUIRE_FALSE(Second);
   CHECK(Second.error().Key == "addresses.peers");
 }
