Own failure domain first; repeats of run requests limited; new servers tried

Change: at most a fifth of the allowance goes to requests that a server has run, and only while another server fails seldom; the window counts exactly its length; another failure domain has to save a quarter of the objective; servers without reports are tried soon; the process ends without joining the logging library's threads.

--- a/cyclamenwind/mesh/chooser.cpp
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -8,15 +8,17 @@
 
 // Time of a request before any was seen, microseconds.
 constexpr double DefaultServiceTime = 50e3;
-// A server without reports is taken to be this much slower than the others.
-constexpr double UnknownFactor = 1.3;
+// A server without reports is taken to be this much faster than the others, so
+// that it gets a first request soon.
+constexpr double UnknownFactor = 0.7;
 // Extra cost of a full server that has no queue yet; some servers slow down
 // before they are full.
 constexpr double PressureFactor = 0.35;
 // After this long half of a report's weight is gone.
 constexpr double ReportHalfLife = 1.5; // Seconds.
-// Another failure domain costs two ways, microseconds.
-constexpr double DomainCost = 2e3;
+// Bytes between failure domains are dear, while time within the objective is
+// not: another domain has to save this part of the objective.
+constexpr double DomainShare = 0.25;
 // Spread of the cost, so that daemons with the same view do not all choose the
 // same server.
 constexpr double Spread = 0.15;
@@ -25,15 +27,20 @@
 // Shares below are normal errors of an application.
 constexpr double NormalFailureShare = 0.04;
 
-double seconds(Duration Span) {
-  return std::chrono::duration<double>(Span).count();
+// Weight of what was reported at ReportedAt: 1 when new.
+double weightOf(TimePoint ReportedAt, TimePoint Now) {
+  if (ReportedAt == TimePoint())
+    return 0;
+  double Age = std::chrono::duration<double>(Now - ReportedAt).count();
+  return std::exp2(-std::max(0.0, Age) / ReportHalfLife);
 }
 
 } // namespace
 
 const MeshEndpoint *EndpointChooser::choose(
     const std::vector<const MeshEndpoint *> &Candidates,
-    const std::set<std::string> &Tried, TimePoint Now) {
+    const std::set<std::string> &Tried, Duration Objective, TimePoint Now) {
+  double DomainCost = DomainShare * static_cast<double>(Objective.count());
   double Typical = typicalTime(Candidates);
   const MeshEndpoint *Best = nullptr;
   double BestCost = 0;
@@ -42,7 +49,7 @@
     if (Tried.count(Each->Id) != 0)
       continue;
     bool Avoided = avoided(Each->Id, Now);
-    double Cost = cost(*Each, Typical, Now);
+    double Cost = cost(*Each, Typical, DomainCost, Now);
     bool Better = Best == nullptr || (BestAvoided && !Avoided) ||
                   (BestAvoided == Avoided && Cost < BestCost);
     if (!Better)
@@ -83,12 +90,9 @@
 
 // Expected time to the end of a request, in microseconds.
 double EndpointChooser::cost(const MeshEndpoint &Candidate, double TypicalTime,
-                             TimePoint Now) {
+                             double DomainCost, TimePoint Now) {
   State &Known = States[Candidate.Id];
-  double Age = seconds(Now - Known.ReportedAt);
-  double Weight = Known.ReportedAt == TimePoint()
-                      ? 0
-                      : std::exp2(-std::max(0.0, Age) / ReportHalfLife);
+  double Weight = weightOf(Known.ReportedAt, Now);
   double Time = TypicalTime * UnknownFactor;
   if (Known.Report.ServiceTime > Duration::zero())
     Time = Weight * static_cast<double>(Known.Report.ServiceTime.count()) +
@@ -109,6 +113,15 @@
   return Cost * (1 + Spread * (2 * Dice.fraction() - 1));
 }
 
+double EndpointChooser::failureShare(const std::string &Id,
+                                     TimePoint Now) const {
+  auto Found = States.find(Id);
+  if (Found == States.end())
+    return 0;
+  return Found->second.Report.FailureShare *
+         weightOf(Found->second.ReportedAt, Now);
+}
+
 void EndpointChooser::ended(const std::string &Id) {
   auto Found = States.find(Id);
   if (Found != States.end() && Found->second.Outstanding > 0)
--- a/cyclamenwind/mesh/chooser.h
+++ b/cyclamenwind/mesh/chooser.h
@@ -34,9 +34,11 @@
   EndpointChooser(std::string FailureDomain, Random &Dice)
       : FailureDomain(std::move(FailureDomain)), Dice(Dice) {}
 
-  // One of Candidates that is not in Tried; null if there is none.
-  const MeshEndpoint *choose(const std::vector<const MeshEndpoint *> &Candidates,
-                             const std::set<std::string> &Tried, TimePoint Now);
+  // One of Candidates that is not in Tried, for a request with the latency
+  // objective Objective; null if there is none.
+  const MeshEndpoint *
+  choose(const std::vector<const MeshEndpoint *> &Candidates,
+         const std::set<std::string> &Tried, Duration Objective, TimePoint Now);
 
   // Whether all of Candidates are known not to take requests at Now.
   bool allUnreachable(const std::vector<const MeshEndpoint *> &Candidates,
@@ -53,6 +55,9 @@
   // last: Id is avoided for Span.
   void avoid(const std::string &Id, Duration Span, TimePoint Now);
 
+  // Share of failures among Id's last answers, as far as is known.
+  double failureShare(const std::string &Id, TimePoint Now) const;
+
   void forget(const std::string &Id) { States.erase(Id); }
 
 private:
@@ -65,7 +70,8 @@
   };
 
   bool avoided(const std::string &Id, TimePoint Now) const;
-  double cost(const MeshEndpoint &Candidate, double TypicalTime, TimePoint Now);
+  double cost(const MeshEndpoint &Candidate, double TypicalTime,
+              double DomainCost, TimePoint Now);
   double typicalTime(const std::vector<const MeshEndpoint *> &Candidates) const;
 
   std::string FailureDomain;
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -31,6 +31,8 @@
 // Callers honour a delay of up to this part of the time they have left.
 constexpr int RetryTimeDivisor = 3;
 constexpr double RetrySpread = 0.5;
+// A server that fails more often than this is no better choice for a repeat.
+constexpr double MaxFailureShare = 0.15;
 constexpr int FirstFailureStatus = 500;
 constexpr double Thousand = 1000;
 
@@ -126,7 +128,8 @@
   }
   std::vector<const MeshEndpoint *> Eligible = State->rollouts().eligible(
       Chosen.Service, State->directory().ready(Chosen.Service), *Dice);
-  return Chooser->choose(Eligible, Chosen.Tried, Now);
+  return Chooser->choose(Eligible, Chosen.Tried, Chosen.Route->Objective,
+                         Now);
 }
 
 void Forwarder::dispatch(uint64_t Id, bool Repeat) {
@@ -247,13 +250,24 @@
                       Now);
 }
 
-bool Forwarder::mayRepeat(const Call &Failed, bool Arrived, TimePoint Now) {
+bool Forwarder::mayRepeat(const Call &Failed, bool Arrived, bool Ran,
+                          TimePoint Now) {
   if (Now >= Failed.FinalBy)
     return false;
   if (!Arrived)
     return Failed.Refusals <= MaxRefusals;
   return Failed.Arrivals < Failed.Route->MaxAttempts &&
-         Allowance.takeRepeat(Failed.Service, State->daemons(), Now);
+         Allowance.takeRepeat(Failed.Service, Ran, State->daemons(), Now);
+}
+
+// Whether a server that was not tried fails seldom. If all fail, the cause is
+// likely to be behind them, and a repeat would only add load.
+bool Forwarder::betterServerLeft(const Call &Failed, TimePoint Now) const {
+  for (const MeshEndpoint *Each : State->directory().ready(Failed.Service))
+    if (Failed.Tried.count(Each->Id) == 0 &&
+        Chooser->failureShare(Each->Id, Now) < MaxFailureShare)
+      return true;
+  return false;
 }
 
 // Decides what follows the end of an attempt.
@@ -282,7 +296,9 @@
     Present.Failure = std::move(Reply);
   if (!Present.Attempts.empty())
     return; // Another attempt may still bring an answer.
-  if (Safe && mayRepeat(Present, Reply.arrived, Now)) {
+  bool Ran = Reply.arrived && !NotRun;
+  if (Safe && (!Ran || betterServerLeft(Present, Now)) &&
+      mayRepeat(Present, Reply.arrived, Ran, Now)) {
     dispatch(Id, /*Repeat=*/true);
     return;
   }
@@ -357,7 +373,7 @@
                              {"gate", Waiting.Gate.text()},
                              {"server", Waiting.EndpointId}});
   ++Present.Arrivals;
-  if (Present.Route->Idempotent && mayRepeat(Present, /*Arrived=*/true, Now))
+  if (Present.Route->Idempotent && mayRepeat(Present, /*Arrived=*/true, /*Ran=*/true, Now))
     dispatch(Id, /*Repeat=*/true);
 }
 
--- a/cyclamenwind/mesh/forwarder.h
+++ b/cyclamenwind/mesh/forwarder.h
@@ -89,7 +89,8 @@
   void attemptEnded(uint64_t AttemptNumber, wire::ForwardReply Reply);
   void learn(const Attempt &Ended, const wire::ForwardReply &Reply,
              TimePoint Now);
-  bool mayRepeat(const Call &Failed, bool Arrived, TimePoint Now);
+  bool mayRepeat(const Call &Failed, bool Arrived, bool Ran, TimePoint Now);
+  bool betterServerLeft(const Call &Failed, TimePoint Now) const;
   void continueAfter(uint64_t Id, wire::ForwardReply Reply);
   void linkDown(const Address &Peer, LinkEnd End);
   void checkSilence();
--- a/cyclamenwind/mesh/retry_allowance.cpp
+++ b/cyclamenwind/mesh/retry_allowance.cpp
@@ -6,9 +6,14 @@
 namespace cyclamenwind {
 namespace {
 
-// Part of the allowance that is spent; the rest covers calls made by repeated
-// requests, which count as repeats at the services they call.
-constexpr double SpentShare = 0.6;
+// Parts of the allowance that are spent on all repeats, and on those of requests
+// that a server has run. Two nested calls a request are the usual case.
+constexpr double SpentShare = 0.5;
+constexpr double RunShare = 0.2;
+
+template <size_t N> int sum(const std::array<int, N> &Counts) {
+  return std::accumulate(Counts.begin(), Counts.end(), 0);
+}
 
 } // namespace
 
@@ -16,13 +21,12 @@
                                                 TimePoint Now) {
   Counts &Entry = ByService[Service];
   int64_t Step = Now.time_since_epoch() / (Options.Window / Steps);
-  int64_t Passed = std::min<int64_t>(Step - Entry.Step, Steps + 1);
-  for (int64_t I = 0; I < Passed; ++I) {
-    std::rotate(Entry.First.begin(), Entry.First.end() - 1, Entry.First.end());
-    std::rotate(Entry.Repeats.begin(), Entry.Repeats.end() - 1,
-                Entry.Repeats.end());
-    Entry.First[0] = Entry.Repeats[0] = 0;
-  }
+  int64_t Passed = std::min<int64_t>(Step - Entry.Step, Steps);
+  for (int64_t I = 0; I < Passed; ++I)
+    for (auto *Each : {&Entry.First, &Entry.Repeats, &Entry.RunRepeats}) {
+      std::rotate(Each->begin(), Each->end() - 1, Each->end());
+      (*Each)[0] = 0;
+    }
   Entry.Step = Step;
   return Entry;
 }
@@ -31,15 +35,19 @@
   ++current(Service, Now).First[0];
 }
 
-bool RetryAllowance::takeRepeat(const std::string &Service, size_t Daemons,
-                                TimePoint Now) {
+bool RetryAllowance::takeRepeat(const std::string &Service, bool Ran,
+                                size_t Daemons, TimePoint Now) {
   Counts &Entry = current(Service, Now);
-  int First = std::accumulate(Entry.First.begin(), Entry.First.end(), 0);
-  int Repeats = std::accumulate(Entry.Repeats.begin(), Entry.Repeats.end(), 0);
-  double Share = Options.Extra / static_cast<double>(std::max<size_t>(1, Daemons));
-  if (Repeats + 1 > SpentShare * (Options.Ratio * First + Share))
+  int First = sum(Entry.First);
+  double Share =
+      Options.Extra / static_cast<double>(std::max<size_t>(1, Daemons));
+  double Room = Options.Ratio * First + Share;
+  if (sum(Entry.Repeats) + 1 > SpentShare * Room ||
+      (Ran && sum(Entry.RunRepeats) + 1 > RunShare * Room))
     return false;
   ++Entry.Repeats[0];
+  if (Ran)
+    ++Entry.RunRepeats[0];
   return true;
 }
 
--- a/cyclamenwind/mesh/retry_allowance.h
+++ b/cyclamenwind/mesh/retry_allowance.h
@@ -2,8 +2,11 @@
 //
 // All daemons share one allowance a service: in any window, repeats may come to
 // Ratio of the first sends plus Extra. Without a counter in common each daemon
-// spends Ratio of its own first sends and an equal share of Extra. Counted in
-// steps of a quarter of the window. Pure.
+// spends part of Ratio of its own first sends and of an equal share of Extra.
+// What is left covers the calls that backend servers make again while they run
+// a repeated request: they count as repeats at the services that are called. A
+// request that another server has run already may therefore be repeated less
+// often than one that was not run. Counted in steps of a window. Pure.
 
 #ifndef CYCLAMENWIND_MESH_RETRY_ALLOWANCE_H
 #define CYCLAMENWIND_MESH_RETRY_ALLOWANCE_H
@@ -29,15 +32,18 @@
 
   void countFirst(const std::string &Service, TimePoint Now);
 
-  // Takes one repeat if the allowance has room, with Daemons sharing Extra.
-  bool takeRepeat(const std::string &Service, size_t Daemons, TimePoint Now);
+  // Takes one repeat if the allowance has room, with Daemons sharing Extra. Ran:
+  // a server has run the request, so that its calls are made again.
+  bool takeRepeat(const std::string &Service, bool Ran, size_t Daemons,
+                  TimePoint Now);
 
 private:
-  static constexpr int Steps = 4;
+  static constexpr int Steps = 5;
   struct Counts {
     int64_t Step = 0; // Since the clock's epoch; of the newest count.
-    std::array<int, Steps + 1> First = {};
-    std::array<int, Steps + 1> Repeats = {};
+    std::array<int, Steps> First = {};
+    std::array<int, Steps> Repeats = {};
+    std::array<int, Steps> RunRepeats = {}; // Of Repeats.
   };
 
   Counts &current(const std::string &Service, TimePoint Now);
--- a/daemon/mesh_main.cpp
+++ b/daemon/mesh_main.cpp
@@ -38,7 +38,7 @@
     logError("settings_rejected", {{"message", Loaded.error().text()}});
 }
 
-int runDaemon(const HostSettings &Settings, const std::string &File) {
+ExitStatus runDaemon(const HostSettings &Settings, const std::string &File) {
   startLog(LogLevel::Info, Settings.Name, LogTarget::StandardOutput);
   Loop TheLoop;
   platform::Headers Format;
@@ -104,5 +104,9 @@
     std::cout << "settings: ok\n";
     return Ended;
   }
-  return runDaemon(Loaded.value(), File);
+  ExitStatus Status = runDaemon(Loaded.value(), File);
+  // Threads of the logging library may not end in time on a host that is short
+  // of processor time; nothing of theirs is needed any more.
+  std::cout.flush();
+  std::_Exit(Status);
 }
