--- a/cyclamenwind/mesh/chooser.cpp
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -22,7 +22,8 @@
 // Spread of the cost, so that daemons with the same view do not all choose the
 // same server.
 constexpr double Spread = 0.15;
-// A server that fails everything costs this much more than one that works.
+// A server that fails everything costs this many times a request's usual time
+// more: one that fails at once would look fast.
 constexpr double FailureFactor = 30;
 // Shares below are normal errors of an application.
 constexpr double NormalFailureShare = 0.04;
@@ -107,7 +108,7 @@
     Cost += Time * (Load - Slots + 1) / Slots;
   double Failures =
       std::max(0.0, Known.Report.FailureShare - NormalFailureShare) * Weight;
-  Cost *= 1 + FailureFactor * Failures;
+  Cost += FailureFactor * Failures * std::max(Time, TypicalTime);
   if (Candidate.FailureDomain != FailureDomain)
     Cost += DomainCost;
   return Cost * (1 + Spread * (2 * Dice.fraction() - 1));
--- a/cyclamenwind/mesh/gate_queue.cpp
+++ b/cyclamenwind/mesh/gate_queue.cpp
@@ -7,6 +7,12 @@
 
 // Weight of the newest request in the averages: the last dozen count most.
 constexpr double NewestWeight = 0.12;
+// A route is starved when its requests are admitted less often than this part of
+// how often all are. Below a quarter the platform calls it starved.
+constexpr double StarvedShare = 0.5;
+// Weight that counts of admissions keep with each further one: the last fifty
+// count most.
+constexpr double AdmissionMemory = 0.98;
 
 void average(std::optional<Duration> &Mean, Duration Newest) {
   if (!Mean) {
@@ -34,16 +40,36 @@
 
 Duration GateQueue::expectedWait() const { return waitBehind(Order.size()); }
 
+bool GateQueue::isStarved(const std::string &Route) const {
+  auto Found = ByRoute.find(Route);
+  if (Found == ByRoute.end() || All.Offered < 1)
+    return false;
+  double Usual = All.Admitted / All.Offered;
+  return Found->second.Admitted <
+         StarvedShare * Usual * Found->second.Offered;
+}
+
+void GateQueue::countOffer(const std::string &Route, bool Admitted) {
+  for (Admissions *Each : {&ByRoute[Route], &All}) {
+    Each->Offered = Each->Offered * AdmissionMemory + 1;
+    Each->Admitted = Each->Admitted * AdmissionMemory + (Admitted ? 1 : 0);
+  }
+}
+
 GateVerdict GateQueue::offer(const GateOffer &Offer, TimePoint Now) {
   if (running() < Slots && Order.empty()) {
     Running[Offer.Ticket] = {Offer.Route, Now};
+    countOffer(Offer.Route, true);
     return GateVerdict::Run;
   }
-  Key Position{!Offer.Nested, Offer.Priority, Arrivals++};
+  bool First = Offer.Nested || isStarved(Offer.Route);
+  Key Position{!First, Offer.Priority, Arrivals++};
   auto Behind = Order.lower_bound({Position, 0});
   auto Ahead = static_cast<size_t>(std::distance(Order.begin(), Behind));
   TimePoint End = Now + waitBehind(Ahead) + timeOf(Offer.Route);
-  if (End > std::min(Offer.Objective, Offer.Deadline))
+  bool Admitted = End <= std::min(Offer.Objective, Offer.Deadline);
+  countOffer(Offer.Route, Admitted);
+  if (!Admitted)
     return GateVerdict::Refused;
   Queue[Offer.Ticket] = {Position, Offer};
   Order.insert({Position, Offer.Ticket});
@@ -100,24 +126,10 @@
   return Result;
 }
 
-GateTicket GateQueue::takeNext() {
-  auto Next = Order.begin();
-  if (++TurnsSinceOldest >= FairnessTurns) {
-    TurnsSinceOldest = 0;
-    Next = std::min_element(Order.begin(), Order.end(),
-                            [](const auto &A, const auto &B) {
-                              return std::get<2>(A.first) <
-                                     std::get<2>(B.first);
-                            });
-  }
-  GateTicket Ticket = Next->second;
-  Order.erase(Next);
-  return Ticket;
-}
-
 void GateQueue::startWaiting(TimePoint Now, GateTurns &Turns) {
   while (running() < Slots && !Order.empty()) {
-    GateTicket Ticket = takeNext();
+    GateTicket Ticket = Order.begin()->second;
+    Order.erase(Order.begin());
     const GateOffer &Offer = Queue.at(Ticket).Offer;
     if (Now + timeOf(Offer.Route) > std::min(Offer.Objective, Offer.Deadline)) {
       Turns.Expired.push_back(Ticket);
--- a/cyclamenwind/mesh/gate_queue.h
+++ b/cyclamenwind/mesh/gate_queue.h
@@ -4,9 +4,10 @@
 // Others wait if they can be expected to end within their latency objective:
 // requests that the server's peers send while they run one of their own go
 // first, since they hold a slot there, then the more urgent priority, then the
-// earlier arrival. One turn in FairnessTurns goes to the request that has
-// waited longest, so that no kind starves. A request that cannot end in time is
-// refused at once, and one that can no longer do so while it waits.
+// earlier arrival. A route whose requests are admitted much less often than all
+// is put before the others until it is not, so that no kind starves. A request
+// that cannot end in time is refused at once, and one that can no longer do so
+// while it waits.
 //
 // The time a request takes is estimated by an exponential average of those that
 // ended. Pure deciding code.
@@ -83,6 +84,11 @@
     Key Position;
     GateOffer Offer;
   };
+  // Requests offered and admitted, weighted by recency.
+  struct Admissions {
+    double Offered = 0;
+    double Admitted = 0;
+  };
   struct Started {
     std::string Route;
     TimePoint At;
@@ -91,15 +97,16 @@
   Duration timeOf(const std::string &Route) const;
   Duration waitBehind(size_t Ahead) const;
   void startWaiting(TimePoint Now, GateTurns &Turns);
-  GateTicket takeNext();
-  static constexpr int FairnessTurns = 6;
+  bool isStarved(const std::string &Route) const;
+  void countOffer(const std::string &Route, bool Admitted);
 
   int Slots;
   uint64_t Arrivals = 0;
-  int TurnsSinceOldest = 0;
   std::map<GateTicket, Started> Running;
   std::map<GateTicket, Waiting> Queue;
   std::set<std::pair<Key, GateTicket>> Order;
+  std::map<std::string, Admissions> ByRoute;
+  Admissions All;
   std::optional<Duration> Average;
   std::map<std::string, Duration> RouteAverage;
 };
