--- a/cyclamenwind/http/byte_stream.cpp
+++ b/cyclamenwind/http/byte_stream.cpp
@@ -102,6 +102,14 @@
       this);
 }
 
+std::string ByteStream::peerHost() const {
+  sockaddr_in Peer = {};
+  socklen_t Length = sizeof Peer;
+  if (getpeername(Socket, reinterpret_cast<sockaddr *>(&Peer), &Length) != 0)
+    return "";
+  return addressOf(Peer).Host;
+}
+
 void ByteStream::write(std::string_view Bytes) {
   Output.append(Bytes);
   scheduleFlush();
--- a/cyclamenwind/http/byte_stream.h
+++ b/cyclamenwind/http/byte_stream.h
@@ -51,6 +51,9 @@
   void pauseReading();
   void resumeReading();
 
+  // Host at the other end; empty if it is gone.
+  std::string peerHost() const;
+
   // Bytes that wait for the kernel.
   size_t backlog() const { return Output.size() - Flushed; }
 
--- a/cyclamenwind/http/exchange.h
+++ b/cyclamenwind/http/exchange.h
@@ -18,6 +18,9 @@
 
   virtual const HttpRequest &request() const = 0;
 
+  // Host of the peer that sent it; empty if unknown.
+  virtual std::string peerHost() const { return ""; }
+
   // Takes the request's parts out, for passing on without a copy.
   virtual HttpRequest takeRequest() = 0;
 
--- a/cyclamenwind/http/pipeline_server.cpp
+++ b/cyclamenwind/http/pipeline_server.cpp
@@ -86,6 +86,7 @@
         Head(Request.Method == "HEAD"), KeepAlive(KeepAlive) {}
 
   const HttpRequest &request() const override { return Request; }
+  std::string peerHost() const override;
   HttpRequest takeRequest() override { return std::move(Request); }
   void reply(const HttpResponse &Response) override;
   void abandon() override;
@@ -117,7 +118,7 @@
       : Server(Server), Stream(Server.TheLoop, *this, Socket),
         Parser(std::make_unique<MessageParser>(MessageKind::Request,
                                                Server.Limits.Parser)),
-        LastActive(Server.TheLoop.now()) {}
+        Peer(Stream.peerHost()), LastActive(Server.TheLoop.now()) {}
 
   ~PipelineConnection() override { loseAll(); }
 
@@ -168,6 +169,8 @@
     });
   }
 
+  const std::string &peerHost() const { return Peer; }
+
   bool idle() const {
     return Queue.empty() && !Parser->midMessage() && Pending.empty() &&
            Stream.backlog() == 0;
@@ -253,6 +256,7 @@
   PipelineServer &Server;
   ByteStream Stream;
   std::unique_ptr<MessageParser> Parser;
+  std::string Peer;
   std::string Pending; // Bytes not yet parsed.
   std::deque<std::shared_ptr<PipelinedExchange>> Queue;
   TimePoint LastActive;
@@ -273,6 +277,10 @@
     Connection->flushAnswers();
 }
 
+std::string PipelinedExchange::peerHost() const {
+  return Connection == nullptr ? "" : Connection->peerHost();
+}
+
 void PipelinedExchange::abandon() {
   if (Answer || Connection == nullptr)
     return;
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -78,6 +78,9 @@
   Call &Added = Calls[Id];
   Added.Caller = Received;
   Added.Received = Now;
+  // The backend server beside this daemon has the daemon's address; callers
+  // have others.
+  Added.Nested = Received->peerHost() == Peers->self().Host;
   Added.Request = Received->takeRequest();
   Added.Table = State->routes();
   CallerTerms Terms = Format.takeCallerTerms(Added.Request.Headers);
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -19,7 +19,10 @@
 constexpr Duration StopCheckPeriod = 50ms;
 // Callers are sent elsewhere after two missed questions, a second apart; until
 // then they still open connections.
-constexpr Duration AcceptWhileStopping = 3200ms;
+constexpr Duration AcceptWhileStopping = 2400ms;
+// The backend server goes on serving until peers are told to go elsewhere; what
+// they send before they hear of it is still run.
+constexpr Duration ServeWhileStopping = 1600ms;
 // What still runs is cut this long before the process would be killed.
 constexpr Duration StopMargin = 400ms;
 // Part of the memory that one request's body may take.
@@ -200,7 +203,6 @@
   StopBegun = TheLoop.now();
   logInfo("daemon_draining",
           {{"requests", Services.find<Forwarder>("forwarder").active()}});
-  Services.find<Registry>("registry").announceStopping();
   CallerServer->drain(/*CloseIdle=*/false);
   StopTimer = TheLoop.every(StopCheckPeriod, [this] { checkDrained(); });
 }
@@ -219,6 +221,10 @@
     TheLoop.stop();
     return;
   }
+  if (Stopping >= ServeWhileStopping && !Withdrawn) {
+    Withdrawn = true;
+    Services.find<Registry>("registry").announceStopping();
+  }
   if (Stopping < AcceptWhileStopping)
     return;
   if (!Closed) {
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -64,6 +64,7 @@
   std::unique_ptr<PipelineServer> ReportServer;
   std::unique_ptr<PipelineServer> MetricsServer;
   std::optional<TimePoint> StopBegun;
+  bool Withdrawn = false; // Peers were told to go elsewhere.
   bool Closed = false; // Accepts no new connections of callers.
   TimerHandle StopTimer;
 };
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -13,6 +13,25 @@
 // A delayed report of a server that left comes within seconds; its record is
 // kept for longer.
 constexpr Duration RemovalDelay = 20s;
+// A configuration has to be in force two seconds after it was accepted.
+constexpr Duration ConfigCollect = 700ms;
+constexpr Duration RolloutCollect = 200ms;
+constexpr Duration EndpointCollect = 1s;
+
+KindWatchOptions configWatch(const MeshCodec &Codec) {
+  KindWatchOptions Options;
+  Options.Prefix = Codec.configPrefix();
+  Options.Collect = ConfigCollect;
+  return Options;
+}
+
+KindWatchOptions staleWatch(std::string Prefix, Duration Collect) {
+  KindWatchOptions Options;
+  Options.Prefix = std::move(Prefix);
+  Options.Collect = Collect;
+  Options.Stale = true;
+  return Options;
+}
 
 } // namespace
 
@@ -21,9 +40,14 @@
   Timers = &Host.scheduler();
   Dice = &Host.random();
   State = &Host.find<MeshState>("mesh_state");
+  Peers = &Host.find<PeerTransport>("peers");
+  Peers->handle(FrameType::RolloutAnnounce,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveRollout(From, Payload);
+                });
   auto Ignore = [](bool) {};
   ConfigWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, KindWatchOptions{Codec.configPrefix()},
+      Platform, *Timers, *Dice, configWatch(Codec),
       KindWatch::Handlers{
           [this](const PlatformListing &Listing) {
             for (const PlatformObject &Each : Listing.Objects)
@@ -35,7 +59,7 @@
           },
           Ignore});
   RolloutWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, KindWatchOptions{Codec.rolloutPrefix()},
+      Platform, *Timers, *Dice, staleWatch(Codec.rolloutPrefix(), RolloutCollect),
       KindWatch::Handlers{
           [this](const PlatformListing &Listing) {
             for (const PlatformObject &Each : Listing.Objects)
@@ -50,7 +74,7 @@
           },
           Ignore});
   EndpointWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, KindWatchOptions{Codec.endpointPrefix()},
+      Platform, *Timers, *Dice, staleWatch(Codec.endpointPrefix(), EndpointCollect),
       KindWatch::Handlers{
           [this](const PlatformListing &Listing) { endpointsListed(Listing); },
           [this](const PlatformChange &Change) {
@@ -101,6 +125,32 @@
            {"state", Status ? nameOf(Status->State) : "ordered"},
            {"share", Status ? Status->Share : 0}});
   State->rollouts().update(*Order, Status, Object.Version, Time->now());
+  PlatformObject &Known = RolloutObjects[Object.Key];
+  if (Object.Version > Known.Version)
+    Known = Object;
+}
+
+void StoreSync::announceRollout(const PlatformObject &Object) {
+  wire::RolloutAnnounce Message;
+  Message.key = Object.Key;
+  Message.revision = static_cast<int64_t>(Object.Version);
+  Message.order = Object.Value;
+  Message.status = Object.Status;
+  for (const Address &Each : State->directory().gates())
+    if (Each != Peers->self())
+      Peers->sendMessage(Each, FrameType::RolloutAnnounce, Message);
+}
+
+void StoreSync::receiveRollout(const Address &From, std::string_view Payload) {
+  Result<wire::RolloutAnnounce, FrameError> Message =
+      decodeMessage<wire::RolloutAnnounce>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  const wire::RolloutAnnounce &Told = Message.value();
+  takeRollout({Told.key, static_cast<uint64_t>(Told.revision), Told.order,
+               Told.status});
 }
 
 void StoreSync::takeEndpoint(const PlatformObject &Object) {
@@ -109,8 +159,9 @@
     logWarning("endpoint_unreadable", {{"key", Object.Key}});
     return;
   }
-  uint64_t &Version = Versions[Record->Id];
-  Version = std::max(Version, Object.Version);
+  StoredRecord &Known = Stored[Record->Id];
+  if (Object.Version >= Known.Version)
+    Known = {Object.Version, Record};
   State->merge(*Record);
 }
 
@@ -121,7 +172,7 @@
     Present.insert(Each.Key.substr(Codec.endpointPrefix().size()));
   }
   std::vector<std::string> Missing;
-  for (const auto &[Id, Version] : Versions)
+  for (const auto &[Id, Each] : Stored)
     if (Present.count(Id) == 0)
       Missing.push_back(Id);
   for (const std::string &Each : Missing)
@@ -131,11 +182,10 @@
 
 // A record of a server beside this daemon that still runs is written anew.
 void StoreSync::endpointRemoved(const std::string &Id) {
-  Versions.erase(Id);
+  Stored.erase(Id);
   auto Own = Publications.find(Id);
   if (Own != Publications.end() &&
       Own->second.Record.State == EndpointState::Ready) {
-    Own->second.Stored = false;
     write(Id);
     return;
   }
@@ -146,20 +196,36 @@
                         std::function<void(bool)> Done) {
   Publication &Entry = Publications[Record.Id];
   Entry.Record = Record;
-  Entry.Stored = false;
+  if (!Entry.Writing && isStored(Record)) {
+    Done(true);
+    return;
+  }
   Entry.Waiting.push_back(std::move(Done));
   write(Record.Id);
 }
 
+// Whether the platform has what matters of Record; a later sequence number
+// alone does not.
+bool StoreSync::isStored(const MeshEndpoint &Record) const {
+  auto Found = Stored.find(Record.Id);
+  if (Found == Stored.end() || !Found->second.Record)
+    return false;
+  const MeshEndpoint &Known = *Found->second.Record;
+  return Known.Born == Record.Born && Known.State == Record.State &&
+         Known.Gate == Record.Gate && Known.Server == Record.Server &&
+         Known.Service == Record.Service && Known.Version == Record.Version &&
+         Known.Slots == Record.Slots;
+}
+
 void StoreSync::write(const std::string &Id) {
   Publication &Entry = Publications.at(Id);
   if (Entry.Writing)
     return;
   Entry.Writing = true;
   Entry.Retry.reset();
-  auto Version = Versions.find(Id);
+  auto Known = Stored.find(Id);
   Platform.write(endpointKey(Id), formatEndpoint(Entry.Record),
-                 Version == Versions.end() ? 0 : Version->second,
+                 Known == Stored.end() ? 0 : Known->second.Version,
                  [this, Id, Sequence = Entry.Record.Sequence,
                   State = Entry.Record.State](
                      Result<uint64_t, PlatformError> Outcome) {
@@ -187,15 +253,15 @@
     return;
   }
   Entry.Failures = 0;
-  uint64_t &Version = Versions[Id];
-  Version = std::max(Version, Outcome.value());
+  StoredRecord &Known = Stored[Id];
+  if (Outcome.value() >= Known.Version)
+    Known = {Outcome.value(), Entry.Record};
   bool Newest = static_cast<uint64_t>(Entry.Record.Sequence) == Sequence &&
                 Entry.Record.State == WrittenState;
   if (!Newest) {
     write(Id);
     return;
   }
-  Entry.Stored = true;
   std::vector<std::function<void(bool)>> Waiting;
   Waiting.swap(Entry.Waiting);
   for (const auto &Each : Waiting)
@@ -219,18 +285,19 @@
           return;
         }
         if (!Read) {
-          Versions.erase(Id);
+          Stored.erase(Id);
           retryLater(Id);
           return;
         }
-        Versions[Id] = Read.value().Version;
-        std::optional<MeshEndpoint> Stored = parseEndpoint(Read.value().Value);
-        if (Stored && Stored->supersedes(Entry.Record)) {
+        std::optional<MeshEndpoint> Present =
+            parseEndpoint(Read.value().Value);
+        Stored[Id] = {Read.value().Version, Present};
+        if (Present && Present->supersedes(Entry.Record)) {
           logWarning("endpoint_superseded", {{"server", Id}});
-          State->merge(*Stored);
+          State->merge(*Present);
           return;
         }
-        bool Same = Stored && !Entry.Record.supersedes(*Stored);
+        bool Same = Present && !Entry.Record.supersedes(*Present);
         if (Same)
           written(Id, static_cast<uint64_t>(Entry.Record.Sequence),
                   Entry.Record.State, Read.value().Version);
@@ -261,10 +328,10 @@
 }
 
 void StoreSync::removeRecord(const std::string &Id) {
-  auto Version = Versions.find(Id);
-  if (Version == Versions.end())
+  auto Known = Stored.find(Id);
+  if (Known == Stored.end())
     return;
-  Platform.remove(endpointKey(Id), Version->second,
+  Platform.remove(endpointKey(Id), Known->second.Version,
                   [Id](Result<uint64_t, PlatformError> Outcome) {
                     if (!Outcome)
                       logWarning("endpoint_removal_failed",
@@ -287,10 +354,13 @@
                               {"elapsed_ms", milliseconds(Next.Elapsed)}});
   Platform.writeStatus(
       Key, Codec.formatRolloutStatus(Next), Present->Revision,
-      [this, Service, Order = Present->Order,
-       Next](Result<uint64_t, PlatformError> Outcome) {
+      [this, Service, Next](Result<uint64_t, PlatformError> Outcome) {
         if (Outcome) {
-          State->rollouts().update(Order, Next, Outcome.value(), Time->now());
+          PlatformObject Written = RolloutObjects[Codec.rolloutPrefix() + Service];
+          Written.Version = Outcome.value();
+          Written.Status = Codec.formatRolloutStatus(Next);
+          takeRollout(Written);
+          announceRollout(Written);
           return;
         }
         logWarning("rollout_write_failed",
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,6 +5,9 @@
 // the status of rollouts. Every write is conditional on the version that was
 // read. A write without an answer is resolved by reading the object back.
 //
+// Records and rollouts are followed by reads that may be seconds old, which
+// cost a tenth: daemons tell each other of changes directly (peer_sync.h).
+//
 // Nothing on the platform expires. The record of a server that left is removed
 // by the daemon that published it; that of a host that died without a word by
 // whichever daemon notices (peer_sync.h).
@@ -70,7 +73,6 @@
   // One record of a server beside this daemon.
   struct Publication {
     MeshEndpoint Record;
-    bool Stored = false;
     bool Writing = false;
     int Failures = 0;
     std::vector<std::function<void(bool)>> Waiting;
@@ -79,6 +81,9 @@
 
   void takeConfig(const PlatformObject &Object);
   void takeRollout(const PlatformObject &Object);
+  void announceRollout(const PlatformObject &Object);
+  void receiveRollout(const Address &From, std::string_view Payload);
+  bool isStored(const MeshEndpoint &Record) const;
   void takeEndpoint(const PlatformObject &Object);
   void endpointsListed(const PlatformListing &Listing);
   void endpointRemoved(const std::string &Id);
@@ -101,10 +106,17 @@
   std::unique_ptr<KindWatch> ConfigWatch;
   std::unique_ptr<KindWatch> RolloutWatch;
   std::unique_ptr<KindWatch> EndpointWatch;
-  // Versions of the records on the platform, as last seen.
-  std::map<std::string, uint64_t> Versions;
+  // Records on the platform, as last seen or written.
+  struct StoredRecord {
+    uint64_t Version = 0;
+    std::optional<MeshEndpoint> Record;
+  };
+  std::map<std::string, StoredRecord> Stored;
+  // Rollouts on the platform, as last seen.
+  std::map<std::string, PlatformObject> RolloutObjects;
   std::map<std::string, Publication> Publications;
   std::map<std::string, TimerHandle> Removals;
+  PeerTransport *Peers = nullptr;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -56,6 +56,7 @@
   StatePull = 54,
   StateReply = 55,
   VersionEvidence = 56,
+  RolloutAnnounce = 57,
 };
 
 // A body of the largest size with its headers.
--- a/cyclamenwind/store/budget.cpp
+++ b/cyclamenwind/store/budget.cpp
@@ -174,4 +174,19 @@
   });
 }
 
+void BudgetedPlatformClient::listStale(const std::string &Prefix,
+                                       PlatformDone<PlatformListing> Done) {
+  submit<PlatformListing>(Prefix, std::move(Done), [this, Prefix](auto Finish) {
+    Inner.listStale(Prefix, std::move(Finish));
+  });
+}
+
+void BudgetedPlatformClient::watchStale(const std::string &Prefix,
+                                        uint64_t Revision, Duration Wait,
+                                        PlatformDone<WatchBatch> Done) {
+  submit<WatchBatch>(Prefix, std::move(Done), [=, this](auto Finish) {
+    Inner.watchStale(Prefix, Revision, Wait, std::move(Finish));
+  });
+}
+
 } // namespace cyclamenwind
--- a/cyclamenwind/store/budget.h
+++ b/cyclamenwind/store/budget.h
@@ -44,6 +44,10 @@
               PlatformDone<uint64_t> Done) override;
   void watch(const std::string &Prefix, uint64_t Revision, Duration Wait,
              PlatformDone<WatchBatch> Done) override;
+  void listStale(const std::string &Prefix,
+                 PlatformDone<PlatformListing> Done) override;
+  void watchStale(const std::string &Prefix, uint64_t Revision, Duration Wait,
+                  PlatformDone<WatchBatch> Done) override;
 
   // Calls sent since the start.
   uint64_t sent() const { return Sent; }
--- a/cyclamenwind/store/client.h
+++ b/cyclamenwind/store/client.h
@@ -92,6 +92,17 @@
   // Waits up to Wait for changes under Prefix after Revision.
   virtual void watch(const std::string &Prefix, uint64_t Revision,
                      Duration Wait, PlatformDone<WatchBatch> Done) = 0;
+
+  // As list() and watch(), by data that may be seconds old. Costs the platform
+  // much less.
+  virtual void listStale(const std::string &Prefix,
+                         PlatformDone<PlatformListing> Done) {
+    list(Prefix, std::move(Done));
+  }
+  virtual void watchStale(const std::string &Prefix, uint64_t Revision,
+                          Duration Wait, PlatformDone<WatchBatch> Done) {
+    watch(Prefix, Revision, Wait, std::move(Done));
+  }
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -24,38 +24,51 @@
 }
 
 void KindWatch::list() {
-  Platform.list(Options.Prefix,
-                guarded<PlatformListing>(
-                    [this](Result<PlatformListing, PlatformError> Outcome) {
-                      if (!Outcome) {
-                        failed(Outcome.error());
-                        return;
-                      }
-                      Revision = Outcome.value().Revision;
-                      Known = true;
-                      succeeded();
-                      Notify.Listed(Outcome.value());
-                      wait();
-                    }));
+  PlatformDone<PlatformListing> Done = guarded<PlatformListing>(
+      [this](Result<PlatformListing, PlatformError> Outcome) {
+        listed(std::move(Outcome));
+      });
+  if (Options.Stale)
+    Platform.listStale(Options.Prefix, std::move(Done));
+  else
+    Platform.list(Options.Prefix, std::move(Done));
+}
+
+void KindWatch::listed(Result<PlatformListing, PlatformError> Outcome) {
+  if (!Outcome) {
+    failed(Outcome.error());
+    return;
+  }
+  Revision = Outcome.value().Revision;
+  Known = true;
+  succeeded();
+  Notify.Listed(Outcome.value());
+  wait();
 }
 
 void KindWatch::wait() {
-  Platform.watch(Options.Prefix, Revision, Options.Wait,
-                 guarded<WatchBatch>([this](
-                                         Result<WatchBatch, PlatformError>
-                                             Outcome) {
-                   if (!Outcome) {
-                     failed(Outcome.error());
-                     return;
-                   }
-                   succeeded();
-                   Revision = std::max(Revision, Outcome.value().Revision);
-                   for (const PlatformChange &Each : Outcome.value().Changes)
-                     Notify.Changed(Each);
-                   bool Changed = !Outcome.value().Changes.empty();
-                   Next = Timers.after(Changed ? Options.Collect : Duration(0),
-                                       [this] { wait(); });
-                 }));
+  PlatformDone<WatchBatch> Done = guarded<WatchBatch>(
+      [this](Result<WatchBatch, PlatformError> Outcome) {
+        changed(std::move(Outcome));
+      });
+  if (Options.Stale)
+    Platform.watchStale(Options.Prefix, Revision, Options.Wait,
+                        std::move(Done));
+  else
+    Platform.watch(Options.Prefix, Revision, Options.Wait, std::move(Done));
+}
+
+void KindWatch::changed(Result<WatchBatch, PlatformError> Outcome) {
+  if (!Outcome) {
+    failed(Outcome.error());
+    return;
+  }
+  succeeded();
+  Revision = std::max(Revision, Outcome.value().Revision);
+  for (const PlatformChange &Each : Outcome.value().Changes)
+    Notify.Changed(Each);
+  bool Any = !Outcome.value().Changes.empty();
+  Next = Timers.after(Any ? Options.Collect : Duration(0), [this] { wait(); });
 }
 
 void KindWatch::failed(PlatformError Error) {
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -17,9 +17,11 @@
 struct KindWatchOptions {
   std::string Prefix;
   // How long a wait for changes lasts at most.
-  Duration Wait = 25s;
+  Duration Wait = 29s;
   // Pause after changes came, before the next wait.
   Duration Collect = 200ms;
+  // Data that is seconds old will do.
+  bool Stale = false;
 };
 
 class KindWatch {
@@ -46,7 +48,9 @@
 
 private:
   void list();
+  void listed(Result<PlatformListing, PlatformError> Outcome);
   void wait();
+  void changed(Result<WatchBatch, PlatformError> Outcome);
   void failed(PlatformError Error);
   void succeeded();
   template <typename T>
--- a/cyclamenwind/store/service.h
+++ b/cyclamenwind/store/service.h
@@ -44,6 +44,14 @@
              PlatformDone<WatchBatch> Done) override {
     Budget.watch(Prefix, Revision, Wait, std::move(Done));
   }
+  void listStale(const std::string &Prefix,
+                 PlatformDone<PlatformListing> Done) override {
+    Budget.listStale(Prefix, std::move(Done));
+  }
+  void watchStale(const std::string &Prefix, uint64_t Revision, Duration Wait,
+                  PlatformDone<WatchBatch> Done) override {
+    Budget.watchStale(Prefix, Revision, Wait, std::move(Done));
+  }
 
 private:
   std::unique_ptr<PlatformClient> Client;
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -2111,4 +2111,171 @@
   out << ")";
 }
 
+
+RolloutAnnounce::~RolloutAnnounce() noexcept {
+}
+
+
+void RolloutAnnounce::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RolloutAnnounce::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void RolloutAnnounce::__set_order(const std::string& val) {
+  this->order = val;
+}
+
+void RolloutAnnounce::__set_status(const std::string& val) {
+  this->status = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutAnnounce& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutAnnounce::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutAnnounce::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutAnnounce");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutAnnounce &a, RolloutAnnounce &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.revision, b.revision);
+  swap(a.order, b.order);
+  swap(a.status, b.status);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other67) {
+  key = other67.key;
+  revision = other67.revision;
+  order = other67.order;
+  status = other67.status;
+  __isset = other67.__isset;
+}
+RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other68) noexcept {
+  key = std::move(other68.key);
+  revision = other68.revision;
+  order = std::move(other68.order);
+  status = std::move(other68.status);
+  __isset = other68.__isset;
+}
+RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other69) {
+  key = other69.key;
+  revision = other69.revision;
+  order = other69.order;
+  status = other69.status;
+  __isset = other69.__isset;
+  return *this;
+}
+RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other70) noexcept {
+  key = std::move(other70.key);
+  revision = other70.revision;
+  order = std::move(other70.order);
+  status = std::move(other70.status);
+  __isset = other70.__isset;
+  return *this;
+}
+void RolloutAnnounce::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutAnnounce(";
+  out << "key=" << to_string(key);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "status=" << to_string(status);
+  out << ")";
+}
+
 }} // namespace
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -54,6 +54,8 @@
 
 class VersionEvidence;
 
+class RolloutAnnounce;
+
 typedef struct _ForwardRequest__isset {
   _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false) {}
   bool id :1;
@@ -794,6 +796,72 @@
 
 std::ostream& operator<<(std::ostream& out, const VersionEvidence& obj);
 
+typedef struct _RolloutAnnounce__isset {
+  _RolloutAnnounce__isset() : key(false), revision(false), order(false), status(false) {}
+  bool key :1;
+  bool revision :1;
+  bool order :1;
+  bool status :1;
+} _RolloutAnnounce__isset;
+
+class RolloutAnnounce : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutAnnounce(const RolloutAnnounce&);
+  RolloutAnnounce(RolloutAnnounce&&) noexcept;
+  RolloutAnnounce& operator=(const RolloutAnnounce&);
+  RolloutAnnounce& operator=(RolloutAnnounce&&) noexcept;
+  RolloutAnnounce() noexcept
+                  : key(),
+                    revision(0),
+                    order(),
+                    status() {
+  }
+
+  virtual ~RolloutAnnounce() noexcept;
+  std::string key;
+  int64_t revision;
+  std::string order;
+  std::string status;
+
+  _RolloutAnnounce__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_order(const std::string& val);
+
+  void __set_status(const std::string& val);
+
+  bool operator == (const RolloutAnnounce & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutAnnounce &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutAnnounce & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutAnnounce &a, RolloutAnnounce &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutAnnounce& obj);
+
 }} // namespace
 
 #endif
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -113,3 +113,11 @@
   // Differs between processes: counts begin at zero in each.
   2: i64 instance
 }
+
+// A rollout as it was written to the platform.
+struct RolloutAnnounce {
+  1: string key
+  2: i64 revision
+  3: binary order
+  4: binary status
+}
