--- a/cyclamenwind/http/pipeline_server.cpp
+++ b/cyclamenwind/http/pipeline_server.cpp
@@ -12,7 +12,7 @@
 
 // Requests of one connection that are run at once; reading stops beyond.
 constexpr size_t MaxPipelined = 32;
-constexpr Duration SweepPeriod = 250ms;
+constexpr Duration SweepPeriod = 500ms;
 // How long a closed connection waits for the client's FIN.
 constexpr Duration LingerLimit = 1s;
 
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -20,6 +20,9 @@
 // A gate that has not been heard for this long is taken to be unreachable. A
 // host's processor share may be used up for most of a tenth of a second.
 constexpr Duration SilentAfter = 500ms;
+// A stream on which nothing came for this long though requests wait is replaced:
+// a connection may have gone silent for good while new ones work.
+constexpr Duration RenewAfter = 1s;
 // How long unreachable gates and servers are avoided.
 constexpr Duration AvoidUnreachable = 1500ms;
 constexpr Duration AvoidRefusing = 400ms;
@@ -63,7 +66,6 @@
                 });
   Peers->onLinkDown(
       [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
-  SilenceTimer = Timers->every(SilencePeriod, [this] { checkSilence(); });
 }
 
 void Forwarder::stop() {
@@ -172,6 +174,8 @@
     return;
   }
   Peers->sendMessage(Target.Gate, FrameType::ForwardRequest, Message);
+  if (!SilenceTimer)
+    SilenceTimer = Timers->every(SilencePeriod, [this] { checkSilence(); });
 }
 
 wire::ForwardRequest Forwarder::messageFor(const Call &Sent,
@@ -343,14 +347,21 @@
 }
 
 void Forwarder::checkSilence() {
+  if (Attempts.empty()) {
+    SilenceTimer.reset();
+    return;
+  }
   TimePoint Now = Time->now();
   std::vector<uint64_t> Silent;
+  std::set<Address> Dead;
   std::set<Address> Probed;
   for (auto &[Number, Each] : Attempts) {
-    if (Each.Silent || Each.LocalTicket != 0)
+    if (Each.LocalTicket != 0)
       continue;
     Duration Quiet = Now - std::max(Each.Sent, Peers->lastHeard(Each.Gate));
-    if (Quiet > SilentAfter)
+    if (Quiet > RenewAfter)
+      Dead.insert(Each.Gate);
+    else if (Quiet > SilentAfter)
       Silent.push_back(Number);
     else if (Quiet > ProbeAfter && Probed.insert(Each.Gate).second)
       Peers->probe(Each.Gate);
@@ -358,6 +369,8 @@
   for (uint64_t Number : Silent)
     if (Attempts.count(Number) != 0)
       handleSilent(Number);
+  for (const Address &Each : Dead)
+    Peers->renew(Each);
 }
 
 // The gate may still answer; an idempotent request is also sent elsewhere.
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -71,7 +71,6 @@
                 });
   Peers->onLinkDown(
       [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
-  ExpiryTimer = Timers->every(ExpiryPeriod, [this] { expireQueues(); });
 }
 
 void Gate::stop() {
@@ -152,6 +151,8 @@
     GateVerdict Verdict = Target->Queue.offer(Offer, Now);
     if (Verdict == GateVerdict::Run)
       run(Ticket);
+    else if (Verdict == GateVerdict::Queued && !ExpiryTimer)
+      ExpiryTimer = Timers->every(ExpiryPeriod, [this] { expireQueues(); });
     if (Verdict != GateVerdict::Refused)
       return Ticket;
     Reason = GateReason::Overloaded;
@@ -277,9 +278,14 @@
 
 void Gate::expireQueues() {
   TimePoint Now = Time->now();
-  for (auto &[Id, Each] : Beside)
+  int Waiting = 0;
+  for (auto &[Id, Each] : Beside) {
     if (Each.Queue.queued() > 0)
       perform(Each.Queue.expire(Now));
+    Waiting += Each.Queue.queued();
+  }
+  if (Waiting == 0)
+    ExpiryTimer.reset();
 }
 
 void Gate::refuse(GateTicket Ticket, GateReason Reason, bool Arrived) {
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -47,6 +47,15 @@
   return Options;
 }
 
+// The forwarder probes gates whose answers it waits for; other streams need few
+// heartbeats.
+PeerTimings meshTimings() {
+  PeerTimings Timings;
+  Timings.HeartbeatPeriod = 2s;
+  Timings.SilenceLimit = 5s;
+  return Timings;
+}
+
 // A response answers the request whose attempt id it echoes; one without an id
 // cannot be told apart.
 ResponseMatcher matcherFor(const WireFormat &Format) {
@@ -101,7 +110,7 @@
 
 std::optional<Address> MeshDaemon::start() {
   Result<std::unique_ptr<TcpTransport>, PeerTransportError> Transport =
-      TcpTransport::listen(TheLoop, Settings.Peers);
+      TcpTransport::listen(TheLoop, Settings.Peers, meshTimings());
   if (!Transport)
     return Settings.Peers;
   Services.add(std::move(Transport.value()));
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -8,8 +8,11 @@
 namespace {
 
 constexpr Duration TickPeriod = 1s;
-// The platform's own word on a newer configuration is waited for this long.
-constexpr Duration BehindDelay = 250ms;
+// The platform's own word on a newer configuration is waited for this long: it
+// comes within the pause between two waits for changes, and costs peers nothing.
+constexpr Duration BehindDelay = 1300ms;
+// While the platform is away.
+constexpr Duration BehindDelayAlone = 200ms;
 // Between attempts to reach a daemon; doubled up to the limit.
 constexpr Duration ContactBase = 1s;
 constexpr int MaxContactDoublings = 3;
@@ -108,7 +111,9 @@
   if (BehindTimer)
     return;
   uint64_t Before = State->configRevision();
-  BehindTimer = Timers->after(BehindDelay, [this, Peer, Before] {
+  Duration Delay =
+      Store->configReachable() ? BehindDelay : BehindDelayAlone;
+  BehindTimer = Timers->after(Delay, [this, Peer, Before] {
     TimerHandle Fired = std::move(BehindTimer);
     if (State->configRevision() == Before)
       pull(Peer);
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -12,11 +12,8 @@
 namespace {
 
 constexpr int32_t ProtocolVersion = 1;
-constexpr Duration HeartbeatPeriod = 500ms;
-constexpr Duration SilenceLimit = 2s;
-constexpr Duration ConnectLimit = 1s;
-// A check this late means that this process was paused.
-constexpr Duration PauseLimit = 2 * HeartbeatPeriod;
+// A check this many periods late means that this process was paused.
+constexpr int PausePeriods = 2;
 constexpr Duration IdleLimit = 60s;
 constexpr int ListenBacklog = 1024;
 constexpr int DatagramBufferBytes = 1 << 20;
@@ -33,15 +30,18 @@
 }
 
 Result<std::unique_ptr<TcpTransport>, PeerTransportError>
-TcpTransport::listen(Loop &TheLoop, const Address &Self) {
-  std::unique_ptr<TcpTransport> Transport(new TcpTransport(TheLoop, Self));
+TcpTransport::listen(Loop &TheLoop, const Address &Self,
+                     const PeerTimings &Timings) {
+  std::unique_ptr<TcpTransport> Transport(
+      new TcpTransport(TheLoop, Self, Timings));
   if (!Transport->bindStream() || !Transport->bindDatagrams())
     return PeerTransportError::AddressInUse;
   return Transport;
 }
 
-TcpTransport::TcpTransport(Loop &TheLoop, const Address &Self)
-    : TheLoop(TheLoop), Self(Self) {}
+TcpTransport::TcpTransport(Loop &TheLoop, const Address &Self,
+                           const PeerTimings &Timings)
+    : TheLoop(TheLoop), Self(Self), Timings(Timings) {}
 
 TcpTransport::~TcpTransport() {
   Links.clear();
@@ -80,7 +80,7 @@
   Instance = static_cast<int64_t>(Host.random().next() | 1);
   LastCheck = TheLoop.now();
   HeartbeatTimer = Host.scheduler().every(
-      HeartbeatPeriod, [this] { checkLinks(TheLoop.now()); });
+      Timings.HeartbeatPeriod, [this] { checkLinks(TheLoop.now()); });
 }
 
 void TcpTransport::leave() {
@@ -139,6 +139,14 @@
   sendOn(linkTo(To), FrameType::Heartbeat, Beat);
 }
 
+void TcpTransport::renew(const Address &To) {
+  auto Found = ByPeer.find(To);
+  if (Found == ByPeer.end())
+    return;
+  logWarning("peer_stream_silent", {{"peer", To.text()}});
+  down(*Found->second);
+}
+
 bool TcpTransport::linkUp(const Address &To) const {
   auto Found = ByPeer.find(To);
   return Found != ByPeer.end() && Found->second->connected();
@@ -300,7 +308,7 @@
 
 // Ends finished streams, retires idle ones, sends a heartbeat on the others.
 void TcpTransport::checkLinks(TimePoint Now) {
-  if (Now - LastCheck > PauseLimit)
+  if (Now - LastCheck > PausePeriods * Timings.HeartbeatPeriod)
     TrustedFrom = Now;
   LastCheck = Now;
   std::vector<Link *> Ended;
@@ -316,7 +324,7 @@
     if (idle(*Each, Now))
       retire(*Each);
     // What the peer sends anyway shows that it lives.
-    if (Now - Each->lastHeard() >= HeartbeatPeriod)
+    if (Now - Each->lastHeard() >= Timings.HeartbeatPeriod)
       sendOn(*Each, FrameType::Heartbeat, Beat);
   }
   for (Link *Each : Ended)
@@ -326,9 +334,10 @@
 
 bool TcpTransport::finished(const Link &Checked, TimePoint Now) const {
   if (Checked.Leaving == Link::Farewell::Answered && Checked.backlog() == 0 &&
-      Now - LastUsed.at(&Checked) > HeartbeatPeriod)
+      Now - LastUsed.at(&Checked) > Timings.HeartbeatPeriod)
     return true;
-  Duration Limit = Checked.connected() ? SilenceLimit : ConnectLimit;
+  Duration Limit =
+      Checked.connected() ? Timings.SilenceLimit : Timings.ConnectLimit;
   return Now - std::max(Checked.lastHeard(), TrustedFrom) > Limit;
 }
 
--- a/cyclamenwind/peer/tcp_transport.h
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -7,6 +7,9 @@
 // connect within ConnectLimit, is ended. A process that has itself been paused
 // accuses no one before it has read what came meanwhile.
 //
+// Periods and limits are options: a daemon that probes peers whose answers it
+// waits for can do with rare heartbeats.
+//
 // A stream that is surplus, or without other traffic for IdleLimit, is closed
 // by agreement: Goodbye, the peer's reply, then the close. Nothing sent on it
 // is lost, so its end is no evidence about calls.
@@ -27,12 +30,19 @@
 
 enum class PeerTransportError { AddressInUse };
 
+struct PeerTimings {
+  // A stream on which nothing was heard for this long gets a heartbeat.
+  Duration HeartbeatPeriod = 500ms;
+  Duration SilenceLimit = 2s;
+  Duration ConnectLimit = 1s;
+};
+
 class TcpTransport final : public PeerTransport,
                            public Service,
                            private LinkOwner {
 public:
   static Result<std::unique_ptr<TcpTransport>, PeerTransportError>
-  listen(Loop &TheLoop, const Address &Self);
+  listen(Loop &TheLoop, const Address &Self, const PeerTimings &Timings = {});
 
   ~TcpTransport() override;
 
@@ -52,13 +62,14 @@
                     std::string_view Payload) override;
   TimePoint lastHeard(const Address &To) const override;
   void probe(const Address &To) override;
+  void renew(const Address &To) override;
   bool linkUp(const Address &To) const override;
   std::vector<Address> linked() const override;
   FrameCount sent(FrameType Type) const override;
   const Address &self() const override { return Self; }
 
 private:
-  TcpTransport(Loop &TheLoop, const Address &Self);
+  TcpTransport(Loop &TheLoop, const Address &Self, const PeerTimings &Timings);
 
   bool bindStream();
   bool bindDatagrams();
@@ -84,6 +95,7 @@
 
   Loop &TheLoop;
   Address Self;
+  PeerTimings Timings;
   evconnlistener *Listener = nullptr;
   evutil_socket_t Datagrams = -1;
   event *DatagramEvent = nullptr;
--- a/cyclamenwind/peer/transport.h
+++ b/cyclamenwind/peer/transport.h
@@ -58,6 +58,9 @@
   // Asks To for a sign of life on its stream.
   virtual void probe(const Address &To) = 0;
 
+  // Ends the stream to To, which has gone silent; the next frame opens another.
+  virtual void renew(const Address &To) = 0;
+
   // Whether To's stream has been up and heard from recently.
   virtual bool linkUp(const Address &To) const = 0;
 
--- a/testing/fake_peers.cpp
+++ b/testing/fake_peers.cpp
@@ -129,6 +129,10 @@
 
 void FakePeers::probe(const Address &) {}
 
+void FakePeers::renew(const Address &To) {
+  Network.linkFailed(Self, To, LinkEnd::Lost);
+}
+
 std::vector<Address> FakePeers::linked() const {
   std::vector<Address> Result;
   for (const auto &[Other, Peers] : Network.Members)
--- a/testing/fake_peers.h
+++ b/testing/fake_peers.h
@@ -89,6 +89,7 @@
                     std::string_view Payload) override;
   TimePoint lastHeard(const Address &To) const override;
   void probe(const Address &To) override;
+  void renew(const Address &To) override;
   bool linkUp(const Address &To) const override;
   std::vector<Address> linked() const override;
   FrameCount sent(FrameType Type) const override;
