--- a/cyclamenwind/base/log.cpp
+++ b/cyclamenwind/base/log.cpp
@@ -1,7 +1,11 @@
 #include "cyclamenwind/base/log.h"
 
+#include "cyclamenwind/base/bounded_appender.h"
+
 #include <cstdio>
 
+#include <unistd.h>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -51,19 +55,12 @@
   return Text + '"';
 }
 
-} // namespace
-
-void startLog(LogLevel Level, const std::string &Member, LogTarget Target) {
-  initializer();
-  // Writes each event with one system call.
-  bool ToError = Target == LogTarget::StandardError;
-  std::setvbuf(ToError ? stderr : stdout, nullptr, _IOLBF, BUFSIZ);
+// Directs events to Appender, each as one line with Member.
+void install(LogLevel Level, const std::string &Member,
+             const log4cplus::SharedAppenderPtr &Appender) {
   std::string Pattern =
       "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p member=" + quoted(Member) +
       " %m%n";
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/ToError,
-                                     /*immediateFlush=*/true));
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
   Logger.removeAllAppenders();
@@ -72,6 +69,24 @@
   Logger.setLogLevel(levelOf(Level));
 }
 
+} // namespace
+
+void startLog(LogLevel Level, const std::string &Member) {
+  initializer();
+  // Writes each event with one system call.
+  std::setvbuf(stderr, nullptr, _IOLBF, BUFSIZ);
+  install(Level, Member,
+          log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
+              /*logToStdErr=*/true, /*immediateFlush=*/true)));
+}
+
+void startBoundedLog(LogLevel Level, const std::string &Member) {
+  initializer();
+  install(Level, Member,
+          log4cplus::SharedAppenderPtr(
+              new BoundedAppender(STDOUT_FILENO, LogBudget())));
+}
+
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields) {
   initializer();
   log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
--- a/cyclamenwind/base/log.h
+++ b/cyclamenwind/base/log.h
@@ -33,11 +33,12 @@
 
 using LogFields = std::initializer_list<LogField>;
 
-enum class LogTarget { StandardError, StandardOutput };
+// Directs the log to standard error at Level; Member is added to each line.
+void startLog(LogLevel Level, const std::string &Member);
 
-// Directs the log to Target at Level; Member is added to each line.
-void startLog(LogLevel Level, const std::string &Member,
-              LogTarget Target = LogTarget::StandardError);
+// Directs the log to standard output at Level, without ever blocking and within
+// the budget of bounded_appender.h.
+void startBoundedLog(LogLevel Level, const std::string &Member);
 
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields);
 
--- a/daemon/mesh_main.cpp
+++ b/daemon/mesh_main.cpp
@@ -39,7 +39,7 @@
 }
 
 ExitStatus runDaemon(const HostSettings &Settings, const std::string &File) {
-  startLog(LogLevel::Info, Settings.Name, LogTarget::StandardOutput);
+  startBoundedLog(LogLevel::Debug, Settings.Name);
   Loop TheLoop;
   platform::Headers Format;
   platform::Objects Codec;
--- /dev/null
+++ b/tests/platform_wire_test.cpp
@@ -0,0 +1,196 @@
+#include "platform/settings.h"
+#include "platform/wire.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::literals;
+
+namespace {
+
+const char SettingsText[] = R"(
+nodeName = "sidecar-a-1"
+ip = "10.1.0.8"
+zone = "a"
+region = "r"
+portRange = [7620, 7635]
+heartbeatMs = 1500
+service = "quote"
+unknownField = [1, 2]
+[listenAddrs]
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[limits]
+memoryMb = 110
+[bounds]
+graceS = 6
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetExtra = 56
+[platform]
+address = "10.200.1.7:8309"
+writesPerS = 400
+readsPerS = 2000
+)";
+
+const char ConfigText[] = R"({"version": 7, "routes": [
+  {"name": "r1", "host": "h.example", "pathPrefix": "/a/", "kind": "safe",
+   "timeoutMs": 1200, "targetLatencyMs": 600, "priority": 2, "maxAttempts": 2,
+   "trafficSplit": [{"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10}]},
+  {"name": "r2", "host": "h.example", "pathPrefix": "/a/b/", "kind": "unsafe",
+   "timeoutMs": 1500, "targetLatencyMs": 800, "priority": 1, "maxAttempts": 2,
+   "service": "s3"}],
+  "services": [{"name": "s1", "healthPath": "/health", "maxConnections": 110,
+                "protocol": "h1", "tls": false}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
+
+const char ReportText[] =
+    R"({"service": "quote", "address": "10.1.0.8:8301", "zone": "a",
+        "version": "v1", "capacity": 9, "state": "ready", "warmupLeftMs": 500,
+        "sequence": 4, "born": 1777844091833})";
+
+// Text with a few bytes changed, removed or doubled.
+std::string damaged(std::string Text, std::mt19937 &Dice) {
+  for (int I = 0; I < 3 && !Text.empty(); ++I) {
+    size_t At = Dice() % Text.size();
+    switch (Dice() % 3) {
+    case 0:
+      Text[At] = static_cast<char>(Dice());
+      break;
+    case 1:
+      Text.erase(At, 1 + Dice() % 8);
+      break;
+    default:
+      Text.insert(At, Text.substr(At, 1 + Dice() % 8));
+    }
+  }
+  return Text;
+}
+
+} // namespace
+
+TEST_CASE("settings are decoded; unknown fields are ignored") {
+  auto Read = platform::parseSettings(SettingsText, "node.toml");
+  REQUIRE(Read);
+  const HostSettings &Value = Read.value();
+  CHECK(Value.FailureDomain == "a");
+  CHECK(Value.Peers == Address{"10.1.0.8", 7620});
+  CHECK(Value.StopLimit == 6s);
+  CHECK(Value.RetryExtra == 56);
+  CHECK(Value.MemoryBytes == 110 * 1024 * 1024);
+}
+
+TEST_CASE("a missing or wrong field gives one error that names it") {
+  std::string Text = SettingsText;
+  size_t At = Text.find("graceS = 6");
+  auto Missing = platform::parseSettings(
+      std::string(Text).erase(At, 10), "node.toml");
+  REQUIRE_FALSE(Missing);
+  CHECK(Missing.error().Field == "bounds.graceS");
+  auto Wrong = platform::parseSettings(
+      std::string(Text).replace(Text.find("10.1.0.8:8304"), 13, "nowhere"),
+      "node.toml");
+  REQUIRE_FALSE(Wrong);
+  CHECK(Wrong.error().text().find("listenAddrs.outbound") !=
+        std::string::npos);
+  CHECK_FALSE(platform::parseSettings("no = [toml", "node.toml"));
+  CHECK_FALSE(platform::loadSettings("/nonexistent"));
+}
+
+TEST_CASE("a configuration is decoded and routes by the longest prefix") {
+  platform::Objects Codec;
+  std::optional<MeshConfig> Config = Codec.config(ConfigText, 42);
+  REQUIRE(Config);
+  CHECK(Config->Revision == 42);
+  CHECK(Config->Limits.IdleTimeout == 15s);
+  RouteTable Table(*Config);
+  REQUIRE(Table.match("H.example:80", "/a/x") != nullptr);
+  CHECK(Table.match("h.example", "/a/x")->Name == "r1");
+  CHECK(Table.match("h.example", "/a/b/x")->Name == "r2");
+  CHECK(Table.match("h.example", "/a") == nullptr);
+  CHECK(Table.match("other.example", "/a/x") == nullptr);
+  CHECK(Table.match("h.example", "/a/x")->Targets.size() == 2);
+  CHECK_FALSE(Table.match("h.example", "/a/b/x")->Idempotent);
+}
+
+TEST_CASE("liveness reports are decoded; incomplete ones name no server") {
+  std::optional<ServerReport> Report =
+      platform::parseReport("i-1", ReportText);
+  REQUIRE(Report);
+  CHECK(Report->Slots == 9);
+  CHECK(Report->Born == 1777844091833);
+  CHECK_FALSE(platform::parseReport("", ReportText));
+  for (const char *Field : {"service", "address", "capacity", "sequence"}) {
+    std::string Text = ReportText;
+    Text.replace(Text.find(Field), 2, "xx");
+    CHECK_FALSE(platform::parseReport("i-1", Text));
+  }
+  std::string Unknown = ReportText;
+  Unknown.replace(Unknown.find("\"ready\""), 7, "\"other\"");
+  CHECK_FALSE(platform::parseReport("i-1", Unknown));
+}
+
+TEST_CASE("headers that callers forge are replaced") {
+  platform::Headers Format;
+  HttpHeaders Headers = {{"cyclamenwind-attempt-id", "a1"},
+                         {"Cyclamenwind-Deadline-Ms", "250"},
+                         {"Cyclamenwind-Caller-Service", "forged"},
+                         {"Cyclamenwind-Target-Instance", "forged"},
+                         {"Other", "kept"}};
+  CallerTerms Terms = Format.takeCallerTerms(Headers);
+  CHECK(Terms.AttemptId == "a1");
+  CHECK(Terms.Remaining == Duration(250ms));
+  CHECK(Headers.size() == 1);
+  Format.addServerTerms(Headers, {"a1", "i-1", "quote", 200ms});
+  CHECK(*findHeader(Headers, "Cyclamenwind-Target-Instance") == "i-1");
+  CHECK(*findHeader(Headers, "Cyclamenwind-Deadline-Ms") == "200");
+  CHECK(Format.retryAfter(150ms).Value == "0.150");
+}
+
+TEST_CASE("what a server says of its answer") {
+  platform::Headers Format;
+  CHECK(Format.readAnswer({503, {{"Cyclamenwind-Not-Executed", "1"}}, ""})
+            .NotRun);
+  CHECK(Format.readAnswer({421, {}, ""}).NotRun);
+  CHECK_FALSE(Format.readAnswer({503, {}, ""}).NotRun);
+  CHECK(Format.readAnswer({200, {{"Content-Encoding", "gzip"}}, ""}).Encoded);
+}
+
+TEST_CASE("rollouts of other writers and of ours") {
+  platform::Objects Codec;
+  PlatformObject Object{
+      "rollouts/quote", 5,
+      R"({"service": "quote", "targetVersion": "v2", "durationS": 12.5})", ""};
+  REQUIRE(Codec.rolloutOrder(Object));
+  CHECK(Codec.rolloutOrder(Object)->Within == 12500ms);
+  CHECK_FALSE(Codec.rolloutStatus(Object));
+  RolloutStatus Status{RolloutState::Running, "v2", 0.25, 3s};
+  Object.Status = Codec.formatRolloutStatus(Status);
+  REQUIRE(Codec.rolloutStatus(Object));
+  CHECK(*Codec.rolloutStatus(Object) == Status);
+  Object.Status = R"({"state": "paused"})";
+  CHECK_FALSE(Codec.rolloutStatus(Object));
+  Object.Value = "[]";
+  CHECK_FALSE(Codec.rolloutOrder(Object));
+}
+
+TEST_CASE("damaged input names nothing and stops nothing") {
+  std::mt19937 Dice(4711);
+  platform::Objects Codec;
+  for (int I = 0; I < 3000; ++I) {
+    (void)platform::parseReport("i-1", damaged(ReportText, Dice));
+    (void)Codec.config(damaged(ConfigText, Dice), 1);
+    (void)platform::parseSettings(damaged(SettingsText, Dice), "node.toml");
+    PlatformObject Object{"rollouts/q", 1, damaged(ReportText, Dice),
+                          damaged(R"({"state": "running"})", Dice)};
+    (void)Codec.rolloutOrder(Object);
+    (void)Codec.rolloutStatus(Object);
+    (void)parseEndpoint(damaged(ReportText, Dice));
+  }
+  CHECK(platform::parseReport("i-1", ReportText));
+}
