One watch probes a platform that is away; a history gap is read anew at once

A test in virtual time found changes after an outage with lost history only after 2.5 s; and each of three watches probed the platform, each call priced.

--- a/cyclamenwind/base/bounded_appender.cpp
+++ b/cyclamenwind/base/bounded_appender.cpp
@@ -29,8 +29,8 @@
 
 bool LineBudget::admit(log4cplus::LogLevel Level, TimePoint Now) {
   double Elapsed = std::chrono::duration<double>(Now - Last).count();
-  Tokens = std::min(Options.Burst, Tokens + std::max(0.0, Elapsed) *
-                                                Options.LinesPerSecond);
+  Tokens = std::min(Options.Burst,
+                    Tokens + std::max(0.0, Elapsed) * Options.LinesPerSecond);
   Last = Now;
   if (Tokens < 1 + reserveOf(Level) * Options.Burst)
     return false;
@@ -38,9 +38,10 @@
   return true;
 }
 
-void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent &Event) {
-  TimePoint Now = std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+void BoundedAppender::append(
+    const log4cplus::spi::InternalLoggingEvent &Event) {
+  TimePoint Now =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
   if (!Budget.admit(Event.getLogLevel(), Now)) {
     ++Dropped;
     return;
--- a/cyclamenwind/daemon/daemon.cpp
+++ b/cyclamenwind/daemon/daemon.cpp
@@ -61,8 +61,8 @@
 
 void Daemon::addServices(std::unique_ptr<PlatformClient> Platform) {
   int64_t Incarnation = TheLoop.wallNow().time_since_epoch().count();
-  Services.add(std::make_unique<PlatformService>(
-      std::move(Platform), TheLoop, TheSettings.Platform, Dice));
+  Services.add(std::make_unique<PlatformService>(std::move(Platform), TheLoop,
+                                                 TheSettings.Platform, Dice));
   Services.add(std::make_unique<Metrics>());
   Services.add(std::make_unique<AuditTrail>());
   Services.add(std::make_unique<ConfigStore>());
--- a/cyclamenwind/http/byte_stream.cpp
+++ b/cyclamenwind/http/byte_stream.cpp
@@ -38,10 +38,9 @@
     : TheLoop(TheLoop), Owner(Owner) {
   open(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   sockaddr_in Where = To.socketAddress();
-  if (Socket >= 0 &&
-      (::connect(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof Where) ==
-           0 ||
-       errno == EINPROGRESS)) {
+  if (Socket >= 0 && (::connect(Socket, reinterpret_cast<sockaddr *>(&Where),
+                                sizeof Where) == 0 ||
+                      errno == EINPROGRESS)) {
     event_add(WriteEvent, nullptr);
     return;
   }
@@ -205,8 +204,7 @@
          void *Self) {
         static_cast<StreamListener *>(Self)->Accepted(Descriptor);
       },
-      this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
       ListenBacklog, reinterpret_cast<sockaddr *>(&Socket), sizeof Socket);
 }
 
--- a/cyclamenwind/http/message_parser.cpp
+++ b/cyclamenwind/http/message_parser.cpp
@@ -192,8 +192,8 @@
         std::move(Impl->Target), std::move(Impl->Headers),
         std::move(Impl->Body)};
   } else {
-    Result.Response = {static_cast<int>(Impl->Parser.status_code), std::move(Impl->Headers),
-                       std::move(Impl->Body)};
+    Result.Response = {static_cast<int>(Impl->Parser.status_code),
+                       std::move(Impl->Headers), std::move(Impl->Body)};
   }
   Impl->reset();
   return Result;
--- a/cyclamenwind/http/pipeline_server.cpp
+++ b/cyclamenwind/http/pipeline_server.cpp
@@ -164,9 +164,8 @@
 
   void cut() {
     loseAll();
-    Server.TheLoop.defer([Owner = &Server, Self = this] {
-      Owner->forget(Self);
-    });
+    Server.TheLoop.defer(
+        [Owner = &Server, Self = this] { Owner->forget(Self); });
   }
 
   const std::string &peerHost() const { return Peer; }
--- a/cyclamenwind/http/pooled_client.cpp
+++ b/cyclamenwind/http/pooled_client.cpp
@@ -82,7 +82,9 @@
       Pool->destroyLater(std::move(Used));
   }
 
-  bool sent() const override { return Sent || (Used && Used->Stream.sentAny()); }
+  bool sent() const override {
+    return Sent || (Used && Used->Stream.sentAny());
+  }
 
   void begin(std::unique_ptr<Connection> Claimed, Duration Timeout) {
     Used = std::move(Claimed);
@@ -133,9 +135,9 @@
       return false;
     if (Pool->Options.Matches &&
         !Pool->Options.Matches(Request, Message.Response)) {
-      logWarning("response_of_another_request",
-                 {{"from", Used->To.text()},
-                  {"status", Message.Response.Status}});
+      logWarning(
+          "response_of_another_request",
+          {{"from", Used->To.text()}, {"status", Message.Response.Status}});
       Skipped = true;
       return false;
     }
@@ -208,8 +210,8 @@
   return Started;
 }
 
-std::unique_ptr<PooledClient::Connection>
-PooledClient::claim(const Address &To, bool Repeatable) {
+std::unique_ptr<PooledClient::Connection> PooledClient::claim(const Address &To,
+                                                              bool Repeatable) {
   auto Found = Idle.find(To);
   Duration Limit = Repeatable ? Options.MaxIdle : Options.MaxIdleOfOthers;
   TimePoint Now = TheLoop.now();
--- a/cyclamenwind/mesh/chooser.cpp
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -38,9 +38,10 @@
 
 } // namespace
 
-const MeshEndpoint *EndpointChooser::choose(
-    const std::vector<const MeshEndpoint *> &Candidates,
-    const std::set<std::string> &Tried, Duration Objective, TimePoint Now) {
+const MeshEndpoint *
+EndpointChooser::choose(const std::vector<const MeshEndpoint *> &Candidates,
+                        const std::set<std::string> &Tried, Duration Objective,
+                        TimePoint Now) {
   double DomainCost = DomainShare * static_cast<double>(Objective.count());
   double Typical = typicalTime(Candidates);
   const MeshEndpoint *Best = nullptr;
@@ -101,8 +102,8 @@
   double Others = std::max(0, Known.Report.Running + Known.Report.Queued -
                                   Known.OutstandingAtReport);
   double Load = Known.Outstanding + Weight * Others;
-  double Slots = std::max(
-      1, Known.Report.Slots > 0 ? Known.Report.Slots : Candidate.Slots);
+  double Slots = std::max(1, Known.Report.Slots > 0 ? Known.Report.Slots
+                                                    : Candidate.Slots);
   double Cost = Time * (1 + PressureFactor * std::min(1.0, Load / Slots));
   if (Load >= Slots)
     Cost += Time * (Load - Slots + 1) / Slots;
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -20,8 +20,8 @@
 // A gate that has not been heard for this long is taken to be unreachable. A
 // host's processor share may be used up for most of a tenth of a second.
 constexpr Duration SilentAfter = 500ms;
-// A stream on which nothing came for this long though requests wait is replaced:
-// a connection may have gone silent for good while new ones work.
+// A stream on which nothing came for this long though requests wait is
+// replaced: a connection may have gone silent for good while new ones work.
 constexpr Duration RenewAfter = 1s;
 // How long unreachable gates and servers are avoided.
 constexpr Duration AvoidUnreachable = 1500ms;
@@ -94,8 +94,8 @@
     return;
   }
   const std::string *Host = findHeader(Added.Request.Headers, "Host");
-  Added.Route = Added.Table->match(Host == nullptr ? "" : *Host,
-                                   pathOf(Added.Request));
+  Added.Route =
+      Added.Table->match(Host == nullptr ? "" : *Host, pathOf(Added.Request));
   if (Added.Route == nullptr) {
     finish(Id, plainResponse(404, "no route matches"), "no_route");
     return;
@@ -133,8 +133,7 @@
   }
   std::vector<const MeshEndpoint *> Eligible = State->rollouts().eligible(
       Chosen.Service, State->directory().ready(Chosen.Service), *Dice);
-  return Chooser->choose(Eligible, Chosen.Tried, Chosen.Route->Objective,
-                         Now);
+  return Chooser->choose(Eligible, Chosen.Tried, Chosen.Route->Objective, Now);
 }
 
 void Forwarder::dispatch(uint64_t Id, bool Repeat) {
@@ -389,7 +388,8 @@
                              {"gate", Waiting.Gate.text()},
                              {"server", Waiting.EndpointId}});
   ++Present.Arrivals;
-  if (Present.Route->Idempotent && mayRepeat(Present, /*Arrived=*/true, /*Ran=*/true, Now))
+  if (Present.Route->Idempotent &&
+      mayRepeat(Present, /*Arrived=*/true, /*Ran=*/true, Now))
     dispatch(Id, /*Repeat=*/true);
 }
 
@@ -442,7 +442,8 @@
 }
 
 Duration Forwarder::retryDelay(const Call &Refused, TimePoint Now) {
-  Duration Delay = std::clamp(Refused.ExpectedWait, MinRetryDelay, MaxRetryDelay);
+  Duration Delay =
+      std::clamp(Refused.ExpectedWait, MinRetryDelay, MaxRetryDelay);
   Delay = Dice->jittered(Delay + Delay / 2, RetrySpread);
   Duration Left = (Refused.FinalBy - Now) / RetryTimeDivisor;
   return std::max(std::min(Delay, Left), Duration::zero());
@@ -453,8 +454,7 @@
   TimePoint Now = Time->now();
   if (!Present.MayHaveRun) {
     HttpResponse Refusal = plainResponse(503, nameOf(Present.LastReason));
-    Refusal.Headers.push_back(
-        Format.retryAfter(retryDelay(Present, Now)));
+    Refusal.Headers.push_back(Format.retryAfter(retryDelay(Present, Now)));
     finish(Id, std::move(Refusal), nameOf(Present.LastReason));
     return;
   }
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -346,8 +346,8 @@
   auto From = Beside.find(Ended.InstanceId);
   if (From == Beside.end())
     return;
-  logInfo("gate_cancelled", {{"request", Ended.Message.attemptId},
-                             {"server", Ended.InstanceId}});
+  logInfo("gate_cancelled",
+          {{"request", Ended.Message.attemptId}, {"server", Ended.InstanceId}});
   if (!From->second.Queue.withdraw(Ticket))
     perform(From->second.Queue.finished(Ticket, false, Time->now()));
 }
--- a/cyclamenwind/mesh/gate.h
+++ b/cyclamenwind/mesh/gate.h
@@ -115,8 +115,8 @@
   HttpRequest requestFor(const Request &Running, TimePoint Now) const;
   void completed(GateTicket Ticket,
                  Result<HttpResponse, HttpClientError> Outcome);
-  void judge(Server &From, const Request &Ended, const wire::ForwardReply &Reply,
-             TimePoint Now);
+  void judge(Server &From, const Request &Ended,
+             const wire::ForwardReply &Reply, TimePoint Now);
   void perform(const GateTurns &Turns);
   void expireQueues();
   void refuse(GateTicket Ticket, GateReason Reason, bool Arrived);
--- a/cyclamenwind/mesh/gate_queue.cpp
+++ b/cyclamenwind/mesh/gate_queue.cpp
@@ -7,8 +7,8 @@
 
 // Weight of the newest request in the averages: the last dozen count most.
 constexpr double NewestWeight = 0.12;
-// A route is starved when its requests are admitted less often than this part of
-// how often all are. Below a quarter the platform calls it starved.
+// A route is starved when its requests are admitted less often than this part
+// of how often all are. Below a quarter the platform calls it starved.
 constexpr double StarvedShare = 0.5;
 // Weight that counts of admissions keep with each further one: the last fifty
 // count most.
@@ -45,8 +45,7 @@
   if (Found == ByRoute.end() || All.Offered < 1)
     return false;
   double Usual = All.Admitted / All.Offered;
-  return Found->second.Admitted <
-         StarvedShare * Usual * Found->second.Offered;
+  return Found->second.Admitted < StarvedShare * Usual * Found->second.Offered;
 }
 
 void GateQueue::countOffer(const std::string &Route, bool Admitted) {
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -69,9 +69,8 @@
 }
 
 size_t bodyLimit(const HostSettings &Settings) {
-  return Settings.MemoryBytes == 0
-             ? DefaultBodyBytes
-             : Settings.MemoryBytes / BodyMemoryDivisor;
+  return Settings.MemoryBytes == 0 ? DefaultBodyBytes
+                                   : Settings.MemoryBytes / BodyMemoryDivisor;
 }
 
 } // namespace
@@ -81,8 +80,8 @@
                        std::unique_ptr<PlatformClient> Platform)
     : TheLoop(TheLoop), Settings(Settings), Adapters(Adapters),
       Dice(freshSeed()), Services(TheLoop, TheLoop, Dice) {
-  auto Store = std::make_unique<PlatformService>(
-      std::move(Platform), TheLoop, platformSettings(), Dice);
+  auto Store = std::make_unique<PlatformService>(std::move(Platform), TheLoop,
+                                                 platformSettings(), Dice);
   PlatformClient &Client = *Store;
   PooledClientOptions Options;
   Options.Parser.MaxBodyBytes = bodyLimit(Settings);
@@ -94,10 +93,10 @@
       std::make_unique<PooledClient>(TheLoop, std::move(Options)),
       Adapters.Format));
   Services.add(std::make_unique<Forwarder>(
-      ForwarderOptions{Settings.FailureDomain,
-                       Settings.ServerService,
-                       {Settings.RetryRatio, Settings.RetryExtra,
-                        Settings.RetryWindow}},
+      ForwarderOptions{
+          Settings.FailureDomain,
+          Settings.ServerService,
+          {Settings.RetryRatio, Settings.RetryExtra, Settings.RetryWindow}},
       Adapters.Format));
   Services.add(std::make_unique<StoreSync>(Client, Adapters.Codec));
   Services.add(std::make_unique<Registry>(
@@ -163,8 +162,7 @@
 }
 
 void MeshDaemon::applyLimits() {
-  const RouteTablePtr &Routes =
-      Services.find<MeshState>("mesh_state").routes();
+  const RouteTablePtr &Routes = Services.find<MeshState>("mesh_state").routes();
   if (!Routes)
     return;
   const CallerLimits &Limits = Routes->config().Limits;
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -65,7 +65,7 @@
   std::unique_ptr<PipelineServer> MetricsServer;
   std::optional<TimePoint> StopBegun;
   bool Withdrawn = false; // Peers were told to go elsewhere.
-  bool Closed = false; // Accepts no new connections of callers.
+  bool Closed = false;    // Accepts no new connections of callers.
   TimerHandle StopTimer;
 };
 
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -51,9 +51,7 @@
   const RolloutBook &rollouts() const { return Rollouts; }
 
   // Daemons that take part, this one included.
-  size_t daemons() const {
-    return std::max<size_t>(1, Servers.gates().size());
-  }
+  size_t daemons() const { return std::max<size_t>(1, Servers.gates().size()); }
 
   // A frame of Peer said that it has the configuration of Revision.
   void heardRevision(const Address &Peer, uint64_t Revision) {
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -9,7 +9,8 @@
 
 constexpr Duration TickPeriod = 1s;
 // The platform's own word on a newer configuration is waited for this long: it
-// comes within the pause between two waits for changes, and costs peers nothing.
+// comes within the pause between two waits for changes, and costs peers
+// nothing.
 constexpr Duration BehindDelay = 1300ms;
 // While the platform is away.
 constexpr Duration BehindDelayAlone = 200ms;
@@ -87,7 +88,8 @@
   wire::StateReply &Reply = Message.value();
   auto Revision = static_cast<uint64_t>(Reply.configRevision);
   if (!Reply.config.empty() && Revision > State->configRevision()) {
-    if (std::optional<MeshConfig> Config = Codec.config(Reply.config, Revision)) {
+    if (std::optional<MeshConfig> Config =
+            Codec.config(Reply.config, Revision)) {
       logInfo("config_from_peer",
               {{"peer", From.text()}, {"revision", Revision}});
       State->apply(std::move(*Config), std::move(Reply.config));
@@ -111,8 +113,7 @@
   if (BehindTimer)
     return;
   uint64_t Before = State->configRevision();
-  Duration Delay =
-      Store->configReachable() ? BehindDelay : BehindDelayAlone;
+  Duration Delay = Store->configReachable() ? BehindDelay : BehindDelayAlone;
   BehindTimer = Timers->after(Delay, [this, Peer, Before] {
     TimerHandle Fired = std::move(BehindTimer);
     if (State->configRevision() == Before)
@@ -155,9 +156,9 @@
 
 void PeerSync::removeDead(TimePoint Now) {
   std::vector<Address> Linked = Peers->linked();
-  bool Lowest = std::all_of(
-      Linked.begin(), Linked.end(),
-      [this](const Address &Each) { return Peers->self() < Each; });
+  bool Lowest =
+      std::all_of(Linked.begin(), Linked.end(),
+                  [this](const Address &Each) { return Peers->self() < Each; });
   if (!Lowest || Linked.empty() || !Store->endpointsReachable())
     return;
   std::vector<std::string> Dead;
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -28,8 +28,7 @@
   Peers = &Host.find<PeerTransport>("peers");
   Started = LastCheck = Time->now();
   State->onListed([this] { retryHeldReports(); });
-  SilenceTimer =
-      Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
+  SilenceTimer = Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
 }
 
 // Whether Record is of the newest incarnation at its address and newer than
@@ -76,8 +75,8 @@
     Acknowledge();
     return;
   }
-  bool RecordsUnread = !State->endpointsListed() &&
-                       Time->now() - Started < RecordsWait;
+  bool RecordsUnread =
+      !State->endpointsListed() && Time->now() - Started < RecordsWait;
   if (!Report.Draining && RecordsUnread) {
     Held[Report.Id] = Report;
     Acknowledge();
@@ -104,8 +103,7 @@
     Acknowledge();
     return;
   }
-  MeshEndpoint Record =
-      Found != Servers.end() ? Found->second.Record : *Listed;
+  MeshEndpoint Record = Found != Servers.end() ? Found->second.Record : *Listed;
   if (Listed != nullptr && Listed->supersedes(Record))
     Record = *Listed;
   if (Born != 0 && Born < Record.Born) {
@@ -120,12 +118,11 @@
 void Registry::take(const MeshEndpoint &Record,
                     std::function<void()> Acknowledge) {
   Known &Entry = Servers[Record.Id];
-  bool Changed = !Entry.Announced || Entry.Silent ||
-                 Entry.Record.State != Record.State ||
-                 Entry.Record.Born != Record.Born ||
-                 Entry.Record.Slots != Record.Slots ||
-                 Entry.Record.Version != Record.Version ||
-                 Entry.Record.Server != Record.Server;
+  bool Changed =
+      !Entry.Announced || Entry.Silent || Entry.Record.State != Record.State ||
+      Entry.Record.Born != Record.Born || Entry.Record.Slots != Record.Slots ||
+      Entry.Record.Version != Record.Version ||
+      Entry.Record.Server != Record.Server;
   Entry.Record = Record;
   Entry.LastHeard = Time->now();
   Entry.Silent = false;
@@ -196,9 +193,9 @@
         Now - Each.LastHeard < Options.ReportPeriod * MissedReports)
       continue;
     Each.Silent = true;
-    logWarning("server_silent",
-               {{"server", Id},
-                {"silent_ms", milliseconds(Now - Each.LastHeard)}});
+    logWarning(
+        "server_silent",
+        {{"server", Id}, {"silent_ms", milliseconds(Now - Each.LastHeard)}});
     TheGate->serverSilent(Id);
     MeshEndpoint Record = Each.Record;
     Record.State = EndpointState::Unreachable;
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -32,8 +32,8 @@
 };
 
 struct RegistryOptions {
-  Address Gate;           // This daemon, for other daemons.
-  Duration ReportPeriod;  // At which a server reports.
+  Address Gate;          // This daemon, for other daemons.
+  Duration ReportPeriod; // At which a server reports.
 };
 
 // Keeps a record on the platform; Done is called once it is there or the
--- a/cyclamenwind/mesh/retry_allowance.cpp
+++ b/cyclamenwind/mesh/retry_allowance.cpp
@@ -6,8 +6,9 @@
 namespace cyclamenwind {
 namespace {
 
-// Parts of the allowance that are spent on all repeats, and on those of requests
-// that a server has run. Two nested calls a request are the usual case.
+// Parts of the allowance that are spent on all repeats, and on those of
+// requests that a server has run. Two nested calls a request are the usual
+// case.
 constexpr double SpentShare = 0.5;
 constexpr double RunShare = 0.2;
 
--- a/cyclamenwind/mesh/retry_allowance.h
+++ b/cyclamenwind/mesh/retry_allowance.h
@@ -32,8 +32,8 @@
 
   void countFirst(const std::string &Service, TimePoint Now);
 
-  // Takes one repeat if the allowance has room, with Daemons sharing Extra. Ran:
-  // a server has run the request, so that its calls are made again.
+  // Takes one repeat if the allowance has room, with Daemons sharing Extra.
+  // Ran: a server has run the request, so that its calls are made again.
   bool takeRepeat(const std::string &Service, bool Ran, size_t Daemons,
                   TimePoint Now);
 
--- a/cyclamenwind/mesh/rollout.cpp
+++ b/cyclamenwind/mesh/rollout.cpp
@@ -81,9 +81,8 @@
     Next.Share = 1;
     return Next;
   }
-  Next.Share = Evidence.ReadyServers == 0
-                   ? Share
-                   : std::max(Share, rampShare(Progress));
+  Next.Share =
+      Evidence.ReadyServers == 0 ? Share : std::max(Share, rampShare(Progress));
   if (Recorded && Next.Share == Share)
     return std::nullopt;
   return Next;
@@ -95,10 +94,9 @@
   Rollout &Entry = ByService[Order.Service];
   if (Revision <= Entry.Revision)
     return;
-  bool IsNew = Entry.Revision == 0 ||
-               Entry.Order.TargetVersion != Order.TargetVersion;
-  bool OfThisOrder =
-      Recorded && Recorded->TargetVersion == Order.TargetVersion;
+  bool IsNew =
+      Entry.Revision == 0 || Entry.Order.TargetVersion != Order.TargetVersion;
+  bool OfThisOrder = Recorded && Recorded->TargetVersion == Order.TargetVersion;
   if (IsNew) {
     std::string Previous = Entry.PreviousVersion;
     if (Entry.Recorded && Entry.Recorded->State == RolloutState::Completed)
@@ -139,8 +137,8 @@
   const Rollout *Present = find(Service);
   if (Present == nullptr || Version != Present->Order.TargetVersion)
     return true;
-  bool Completed = Present->Recorded &&
-                   Present->Recorded->State == RolloutState::Completed;
+  bool Completed =
+      Present->Recorded && Present->Recorded->State == RolloutState::Completed;
   if (Completed)
     return true;
   return !Present->Suspended && Present->Recorded &&
@@ -157,11 +155,11 @@
   if (Present == nullptr) {
     // Servers of a second version are started before its order is known here:
     // until then the version that was there first gets all requests.
-    auto First = std::min_element(
-        Ready.begin(), Ready.end(),
-        [](const MeshEndpoint *A, const MeshEndpoint *B) {
-          return A->Born < B->Born;
-        });
+    auto First =
+        std::min_element(Ready.begin(), Ready.end(),
+                         [](const MeshEndpoint *A, const MeshEndpoint *B) {
+                           return A->Born < B->Born;
+                         });
     for (const MeshEndpoint *Each : Ready)
       if (Each->Version == (*First)->Version)
         Old.push_back(Each);
--- a/cyclamenwind/mesh/rollout.h
+++ b/cyclamenwind/mesh/rollout.h
@@ -48,9 +48,9 @@
   std::optional<RolloutStatus> Recorded; // Of this order; none yet.
   // Version that an earlier order was completed with; empty if unknown.
   std::string PreviousVersion;
-  uint64_t Revision = 0; // Of the object that holds both.
-  TimePoint Begun;       // When the order was given, by this daemon's clock.
-  TimePoint RecordedAt;  // When this daemon learned of Recorded.
+  uint64_t Revision = 0;  // Of the object that holds both.
+  TimePoint Begun;        // When the order was given, by this daemon's clock.
+  TimePoint RecordedAt;   // When this daemon learned of Recorded.
   bool Suspended = false; // This daemon has seen that the version is bad.
 };
 
--- a/cyclamenwind/mesh/rollout_driver.cpp
+++ b/cyclamenwind/mesh/rollout_driver.cpp
@@ -107,12 +107,10 @@
                              TimePoint Now) {
   const std::string &Service = Present.Order.Service;
   RolloutEvidence Evidence;
-  Evidence.Verdict =
-      judgeVersion(Table, Service, Present.Order.TargetVersion);
+  Evidence.Verdict = judgeVersion(Table, Service, Present.Order.TargetVersion);
   for (const MeshEndpoint *Each : State->directory().ready(Service))
-    ++(Each->Version == Present.Order.TargetVersion
-           ? Evidence.ReadyServers
-           : Evidence.PreviousServers);
+    ++(Each->Version == Present.Order.TargetVersion ? Evidence.ReadyServers
+                                                    : Evidence.PreviousServers);
   if (Evidence.Verdict == VersionVerdict::Bad && !Present.Suspended) {
     logWarning("version_bad", {{"service", Service},
                                {"version", Present.Order.TargetVersion}});
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -46,35 +46,42 @@
                   receiveRollout(From, Payload);
                 });
   auto Ignore = [](bool) {};
+  // While the platform is away only one watch asks for it.
+  auto ConfigReachable = [this] { return ConfigWatch->reachable(); };
   ConfigWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice, configWatch(Codec),
-      KindWatch::Handlers{
-          [this](const PlatformListing &Listing) {
-            for (const PlatformObject &Each : Listing.Objects)
-              takeConfig(Each);
-          },
-          [this](const PlatformChange &Change) {
-            if (!Change.Removed)
-              takeConfig(Change.Object);
-          },
-          Ignore});
+      KindWatch::Handlers{[this](const PlatformListing &Listing) {
+                            for (const PlatformObject &Each : Listing.Objects)
+                              takeConfig(Each);
+                          },
+                          [this](const PlatformChange &Change) {
+                            if (!Change.Removed)
+                              takeConfig(Change.Object);
+                          },
+                          [this](bool Reachable) {
+                            if (!Reachable)
+                              return;
+                            RolloutWatch->resume();
+                            EndpointWatch->resume();
+                          }});
   RolloutWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, staleWatch(Codec.rolloutPrefix(), RolloutCollect),
-      KindWatch::Handlers{
-          [this](const PlatformListing &Listing) {
-            for (const PlatformObject &Each : Listing.Objects)
-              takeRollout(Each);
-          },
-          [this](const PlatformChange &Change) {
-            if (Change.Removed)
-              State->rollouts().remove(
-                  Change.Object.Key.substr(Codec.rolloutPrefix().size()));
-            else
-              takeRollout(Change.Object);
-          },
-          Ignore});
+      Platform, *Timers, *Dice,
+      staleWatch(Codec.rolloutPrefix(), RolloutCollect),
+      KindWatch::Handlers{[this](const PlatformListing &Listing) {
+                            for (const PlatformObject &Each : Listing.Objects)
+                              takeRollout(Each);
+                          },
+                          [this](const PlatformChange &Change) {
+                            if (Change.Removed)
+                              State->rollouts().remove(Change.Object.Key.substr(
+                                  Codec.rolloutPrefix().size()));
+                            else
+                              takeRollout(Change.Object);
+                          },
+                          Ignore, ConfigReachable});
   EndpointWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, staleWatch(Codec.endpointPrefix(), EndpointCollect),
+      Platform, *Timers, *Dice,
+      staleWatch(Codec.endpointPrefix(), EndpointCollect),
       KindWatch::Handlers{
           [this](const PlatformListing &Listing) { endpointsListed(Listing); },
           [this](const PlatformChange &Change) {
@@ -84,7 +91,7 @@
             else
               takeEndpoint(Change.Object);
           },
-          Ignore});
+          Ignore, ConfigReachable});
   ConfigWatch->start();
   RolloutWatch->start();
   EndpointWatch->start();
@@ -102,8 +109,7 @@
   if (Object.Key != Codec.configKey() ||
       Object.Version <= State->configRevision())
     return;
-  std::optional<MeshConfig> Config =
-      Codec.config(Object.Value, Object.Version);
+  std::optional<MeshConfig> Config = Codec.config(Object.Value, Object.Version);
   if (Config)
     State->apply(std::move(*Config), Object.Value);
   else
@@ -224,13 +230,13 @@
   Entry.Writing = true;
   Entry.Retry.reset();
   auto Known = Stored.find(Id);
-  Platform.write(endpointKey(Id), formatEndpoint(Entry.Record),
-                 Known == Stored.end() ? 0 : Known->second.Version,
-                 [this, Id, Sequence = Entry.Record.Sequence,
-                  State = Entry.Record.State](
-                     Result<uint64_t, PlatformError> Outcome) {
-                   written(Id, Sequence, State, std::move(Outcome));
-                 });
+  Platform.write(
+      endpointKey(Id), formatEndpoint(Entry.Record),
+      Known == Stored.end() ? 0 : Known->second.Version,
+      [this, Id, Sequence = Entry.Record.Sequence,
+       State = Entry.Record.State](Result<uint64_t, PlatformError> Outcome) {
+        written(Id, Sequence, State, std::move(Outcome));
+      });
 }
 
 void StoreSync::written(const std::string &Id, uint64_t Sequence,
@@ -289,8 +295,7 @@
           retryLater(Id);
           return;
         }
-        std::optional<MeshEndpoint> Present =
-            parseEndpoint(Read.value().Value);
+        std::optional<MeshEndpoint> Present = parseEndpoint(Read.value().Value);
         Stored[Id] = {Read.value().Version, Present};
         if (Present && Present->supersedes(Entry.Record)) {
           logWarning("endpoint_superseded", {{"server", Id}});
@@ -334,9 +339,9 @@
   Platform.remove(endpointKey(Id), Known->second.Version,
                   [Id](Result<uint64_t, PlatformError> Outcome) {
                     if (!Outcome)
-                      logWarning("endpoint_removal_failed",
-                                 {{"server", Id},
-                                  {"error", nameOf(Outcome.error())}});
+                      logWarning(
+                          "endpoint_removal_failed",
+                          {{"server", Id}, {"error", nameOf(Outcome.error())}});
                   });
 }
 
@@ -356,7 +361,8 @@
       Key, Codec.formatRolloutStatus(Next), Present->Revision,
       [this, Service, Next](Result<uint64_t, PlatformError> Outcome) {
         if (Outcome) {
-          PlatformObject Written = RolloutObjects[Codec.rolloutPrefix() + Service];
+          PlatformObject Written =
+              RolloutObjects[Codec.rolloutPrefix() + Service];
           Written.Version = Outcome.value();
           Written.Status = Codec.formatRolloutStatus(Next);
           takeRollout(Written);
--- a/cyclamenwind/mesh/version_outcomes.cpp
+++ b/cyclamenwind/mesh/version_outcomes.cpp
@@ -34,15 +34,15 @@
 
 double meanUs(const OutcomeCounts &Counts) {
   int64_t Timed = Counts.Answers - Counts.Failures;
-  return Timed == 0 ? 0
-                    : static_cast<double>(Counts.TotalUs) /
-                          static_cast<double>(Timed);
+  return Timed == 0
+             ? 0
+             : static_cast<double>(Counts.TotalUs) / static_cast<double>(Timed);
 }
 
 bool failsMore(const OutcomeCounts &New, const OutcomeCounts &Old) {
   return New.Failures >= MinFailures &&
-         share(New) > std::max(FailureFactor * share(Old),
-                               share(Old) + FailureMargin);
+         share(New) >
+             std::max(FailureFactor * share(Old), share(Old) + FailureMargin);
 }
 
 bool isSlower(const OutcomeCounts &New, const OutcomeCounts &Old) {
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -9,7 +9,7 @@
 constexpr Duration RetryBase = 150ms;
 // Records of servers have to be back about two seconds after the platform
 // returns.
-constexpr Duration RetryLimit = 1s;
+constexpr Duration RetryLimit = 800ms;
 
 } // namespace
 
@@ -47,8 +47,8 @@
 }
 
 void KindWatch::wait() {
-  PlatformDone<WatchBatch> Done = guarded<WatchBatch>(
-      [this](Result<WatchBatch, PlatformError> Outcome) {
+  PlatformDone<WatchBatch> Done =
+      guarded<WatchBatch>([this](Result<WatchBatch, PlatformError> Outcome) {
         changed(std::move(Outcome));
       });
   if (Options.Stale)
@@ -72,22 +72,38 @@
 }
 
 void KindWatch::failed(PlatformError Error) {
-  if (Error == PlatformError::WatchGap)
+  if (Error == PlatformError::WatchGap) {
     Known = false;
+    Next = Timers.after(Duration(0), [this] { list(); });
+    return;
+  }
   ++Failures;
-  if (!Lost && Error != PlatformError::WatchGap) {
+  if (!Lost) {
     Lost = true;
     logWarning("platform_lost",
                {{"prefix", Options.Prefix}, {"error", nameOf(Error)}});
     Notify.Reachability(false);
   }
+  if (Notify.MayRetry && !Notify.MayRetry()) {
+    Suspended = true;
+    return;
+  }
   Next = Timers.after(backoffDelay(Failures, RetryBase, RetryLimit, Dice),
-                      [this] {
-                        if (Known)
-                          wait();
-                        else
-                          list();
-                      });
+                      [this] { proceed(); });
+}
+
+void KindWatch::proceed() {
+  if (Known)
+    wait();
+  else
+    list();
+}
+
+void KindWatch::resume() {
+  if (!Suspended)
+    return;
+  Suspended = false;
+  proceed();
 }
 
 void KindWatch::succeeded() {
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -32,6 +32,9 @@
     std::function<void(const PlatformChange &)> Changed;
     // The platform was lost, or answers again.
     std::function<void(bool Reachable)> Reachability;
+    // Whether to try again after a failure, or to wait for resume(). Empty:
+    // always.
+    std::function<bool()> MayRetry = {};
   };
 
   KindWatch(PlatformClient &Platform, Scheduler &Timers, Random &Dice,
@@ -44,6 +47,9 @@
 
   void start() { list(); }
 
+  // Tries again now if a failure was left to resume().
+  void resume();
+
   bool reachable() const { return Failures == 0 && Known; }
 
 private:
@@ -53,6 +59,7 @@
   void changed(Result<WatchBatch, PlatformError> Outcome);
   void failed(PlatformError Error);
   void succeeded();
+  void proceed();
   template <typename T>
   PlatformDone<T> guarded(std::function<void(Result<T, PlatformError>)> Done);
 
@@ -62,8 +69,9 @@
   KindWatchOptions Options;
   Handlers Notify;
   uint64_t Revision = 0;
-  bool Known = false; // A listing was read and its history is not lost.
-  bool Lost = false;  // The owner was told that the platform is unreachable.
+  bool Known = false;     // A listing was read and its history is not lost.
+  bool Suspended = false; // Waits for resume().
+  bool Lost = false; // The owner was told that the platform is unreachable.
   int Failures = 0;
   TimerHandle Next;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/cyclamenwind/store/service.h
+++ b/cyclamenwind/store/service.h
@@ -1,5 +1,5 @@
-// PlatformService: a platform client, within the daemon's budget, as the service
-// named "platform".
+// PlatformService: a platform client, within the daemon's budget, as the
+// service named "platform".
 
 #ifndef CYCLAMENWIND_STORE_SERVICE_H
 #define CYCLAMENWIND_STORE_SERVICE_H
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -25,11 +25,10 @@
 int runDaemon(const Settings &TheSettings) {
   startLog(TheSettings.Log.Level, TheSettings.Member.Id);
   Loop TheLoop;
-  Result<std::unique_ptr<Daemon>, DaemonError> Made =
-      Daemon::create(TheLoop, TheSettings,
-                     platform::makeStoreClient(
-                         TheLoop, TheSettings.Addresses.Platform,
-                         TheSettings.Platform.Timeout));
+  Result<std::unique_ptr<Daemon>, DaemonError> Made = Daemon::create(
+      TheLoop, TheSettings,
+      platform::makeStoreClient(TheLoop, TheSettings.Addresses.Platform,
+                                TheSettings.Platform.Timeout));
   if (!Made) {
     std::cerr << Made.error().text() << "\n";
     return AddressInUse;
--- a/daemon/mesh_main.cpp
+++ b/daemon/mesh_main.cpp
@@ -1,4 +1,5 @@
-// cyclamenwind-meshd: the daemon beside a backend server on the users' platform.
+// cyclamenwind-meshd: the daemon beside a backend server on the users'
+// platform.
 //
 //   cyclamenwind-meshd [FILE]          runs with the settings in FILE
 //   cyclamenwind-meshd --check [FILE]  checks the settings and ends
@@ -45,9 +46,9 @@
   platform::Objects Codec;
   MeshAdapters Adapters{Format, Codec, platform::answerReport,
                         platform::names::ReadyPath};
-  MeshDaemon Running(TheLoop, Settings, Adapters,
-                     platform::makeStoreClient(TheLoop, Settings.Platform,
-                                               PlatformTimeout));
+  MeshDaemon Running(
+      TheLoop, Settings, Adapters,
+      platform::makeStoreClient(TheLoop, Settings.Platform, PlatformTimeout));
   if (std::optional<Address> InUse = Running.start()) {
     std::cerr << "error=address_in_use address=" << InUse->text() << "\n";
     return AddressInUse;
--- a/testing/platform_server.cpp
+++ b/testing/platform_server.cpp
@@ -162,8 +162,7 @@
 }
 
 void PlatformServer::list(const ExchangePtr &Received,
-                          const std::string &Prefix,
-                          const std::string &After) {
+                          const std::string &Prefix, const std::string &After) {
   PlatformListing Listing = Store.list(Prefix);
   json Items = json::array();
   bool HasMore = false;
@@ -193,11 +192,11 @@
     if (Request.Method == "POST")
       Path.Name = Meta.value(names::ObjectName, "");
     uint64_t IfVersion = Meta.value(names::Revision, uint64_t(0));
-    Outcome = Path.IsStatus
-                  ? Store.writeStatus(Path.key(), Body[names::Status].dump(),
-                                      IfVersion)
-                  : Store.write(Path.key(), Body[names::Spec].dump(),
-                                IfVersion);
+    Outcome =
+        Path.IsStatus
+            ? Store.writeStatus(Path.key(), Body[names::Status].dump(),
+                                IfVersion)
+            : Store.write(Path.key(), Body[names::Spec].dump(), IfVersion);
   }
   answerWrite(Received, Outcome);
   if (Outcome)
@@ -246,8 +245,8 @@
     return false;
   json Changes = json::array();
   for (const PlatformChange &Each : Batch.value().Changes)
-    Changes.push_back({{names::Object, jsonOf(Each.Object)},
-                       {names::Deleted, Each.Removed}});
+    Changes.push_back(
+        {{names::Object, jsonOf(Each.Object)}, {names::Deleted, Each.Removed}});
   replyJson(Watch.Received, 200,
             {{names::At, Batch.value().Revision}, {names::Events, Changes}});
   return true;
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -3,8 +3,8 @@
 #include "cyclamenwind/config/store.h"
 #include "cyclamenwind/daemon/daemon.h"
 #include "cyclamenwind/http/client.h"
-#include "testing/backend_standin.h"
 #include "platform/store_client.h"
+#include "testing/backend_standin.h"
 #include "testing/platform_server.h"
 
 #include <catch2/catch.hpp>
@@ -211,9 +211,8 @@
 
 TEST_CASE("an address in use is reported with its key") {
   Bench Running("127.50.1.5");
-  Result<std::unique_ptr<Daemon>, DaemonError> Second =
-      Daemon::create(Running.TheLoop, Running.TheSettings,
-                     Running.storeClient());
+  Result<std::unique_ptr<Daemon>, DaemonError> Second = Daemon::create(
+      Running.TheLoop, Running.TheSettings, Running.storeClient());
   REQUIRE_FALSE(Second);
   CHECK(Second.error().Key == "addresses.peers");
 }
--- a/tests/http_pipeline_server_test.cpp
+++ b/tests/http_pipeline_server_test.cpp
@@ -37,7 +37,8 @@
   std::string exchange(const std::string &Bytes) {
     RawStream Stream(TheLoop, Listen);
     Stream.write(Bytes);
-    runUntil(TheLoop, [&] { return Stream.Ended; }, 3s);
+    runUntil(
+        TheLoop, [&] { return Stream.Ended; }, 3s);
     CHECK(Stream.Ended);
     return Stream.Received;
   }
@@ -150,10 +151,20 @@
 TEST_CASE("random bytes stop nothing") {
   Bench Running(18108);
   std::mt19937 Dice(20261204);
-  const std::string Pieces[] = {"GET ",   "/a",   " HTTP/1.1", "\r\n",
-                                "Host: ", "a",    ": ",        "\r\n\r\n",
-                                "POST ",  "\0\1", "Transfer-Encoding: chunked",
-                                "5\r\n",  "abc",  "Content-Length: 2"};
+  const std::string Pieces[] = {"GET ",
+                                "/a",
+                                " HTTP/1.1",
+                                "\r\n",
+                                "Host: ",
+                                "a",
+                                ": ",
+                                "\r\n\r\n",
+                                "POST ",
+                                "\0\1",
+                                "Transfer-Encoding: chunked",
+                                "5\r\n",
+                                "abc",
+                                "Content-Length: 2"};
   for (int Round = 0; Round < 200; ++Round) {
     std::string Bytes;
     for (int I = 0; I < 12; ++I)
--- /dev/null
+++ b/tests/mesh_store_sync_test.cpp
@@ -0,0 +1,252 @@
+// What the mesh keeps on the platform, against the fake platform in virtual
+// time.
+
+#include "cyclamenwind/mesh/peer_sync.h"
+#include "cyclamenwind/mesh/store_sync.h"
+#include "platform/wire.h"
+#include "testing/fake_peers.h"
+#include "testing/fake_platform.h"
+#include "testing/virtual_time.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::literals;
+using namespace cyclamenwind::testing;
+
+namespace {
+
+std::string configText(int Version) {
+  return R"({"version": )" + std::to_string(Version) +
+         R"(, "routes": [], "services": [], "limits": {"maxHeaderBytes": 1000,
+            "maxBodyBytes": 1000, "headerTimeoutMs": 1000,
+            "idleTimeoutMs": 1000}})";
+}
+
+MeshEndpoint server(const std::string &Id, int64_t Sequence,
+                    EndpointState State = EndpointState::Ready,
+                    int64_t Born = 100) {
+  MeshEndpoint Value;
+  Value.Id = Id;
+  Value.Service = "quote";
+  Value.Version = "v1";
+  Value.FailureDomain = "a";
+  Value.Gate = {"10.0.0.1", 7000};
+  Value.Server = {"10.0.0.1", 8000};
+  Value.State = State;
+  Value.Slots = 9;
+  Value.Born = Born;
+  Value.Sequence = Sequence;
+  return Value;
+}
+
+// One daemon's state, kept up to date.
+struct Daemon {
+  Daemon(VirtualTime &Time, FakePlatform &Platform, FakeNetwork &Network,
+         const std::string &Host)
+      : Dice(Host.back()), Services(Time, Time, Dice) {
+    auto Client = std::make_unique<FakePlatformClient>(Platform);
+    this->Client = Client.get();
+    Services.add(std::move(Client));
+    Services.add(std::make_unique<FakePeers>(Network, Address{Host, 7000}));
+    Services.add(std::make_unique<MeshState>());
+    Services.add(std::make_unique<StoreSync>(*this->Client, Codec));
+    Services.add(std::make_unique<PeerSync>(Codec));
+    Services.start();
+    State = &Services.find<MeshState>("mesh_state");
+    Store = &Services.find<StoreSync>("store_sync");
+  }
+  ~Daemon() { Services.stop(); }
+
+  platform::Objects Codec;
+  Random Dice;
+  Kernel Services;
+  FakePlatformClient *Client;
+  MeshState *State;
+  StoreSync *Store;
+};
+
+class Bench {
+public:
+  Bench() : Dice(3), Platform(Time, Dice), Network(Time, Time, Dice) {}
+
+  std::unique_ptr<Daemon> daemon(const std::string &Host) {
+    return std::make_unique<Daemon>(Time, Platform, Network, Host);
+  }
+
+  // Writes as the operator does.
+  void operatorWrites(const std::string &Key, const std::string &Value) {
+    Result<PlatformObject, PlatformError> Old = Platform.Store.read(Key);
+    REQUIRE(Platform.Store.write(Key, Value, Old ? Old.value().Version : 0));
+    Platform.wake();
+  }
+
+  VirtualTime Time;
+  Random Dice;
+  FakePlatform Platform;
+  FakeNetwork Network;
+};
+
+} // namespace
+
+TEST_CASE("a configuration is in force soon after it was accepted") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.Time.advance(100ms);
+  CHECK(One->State->routes() == nullptr);
+  for (int Version = 1; Version < 12; ++Version) {
+    Running.operatorWrites("config/main", configText(Version));
+    Running.Time.advance(240ms);
+  }
+  Running.Time.advance(800ms);
+  REQUIRE(One->State->routes());
+  CHECK(One->State->routes()->config().Version == 11);
+}
+
+TEST_CASE("an unreadable configuration leaves the one in force") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(1s);
+  Running.operatorWrites("config/main", R"({"version": "two"})");
+  Running.operatorWrites("config/other", configText(9));
+  Running.Time.advance(2s);
+  CHECK(One->State->routes()->config().Version == 1);
+}
+
+TEST_CASE("changes are found after an outage and after lost history") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(1s);
+  One->Client->CutOff = true;
+  Running.Time.advance(40s);
+  Running.operatorWrites("config/main", configText(2));
+  Running.Platform.Store.compact();
+  One->Client->CutOff = false;
+  Running.Time.advance(2s);
+  CHECK(One->State->routes()->config().Version == 2);
+}
+
+TEST_CASE("a daemon that the platform turns away learns from a peer") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  auto Two = Running.daemon("10.0.0.2");
+  Two->Client->CutOff = true;
+  Running.operatorWrites("config/main", configText(1));
+  One->Store->publish(server("i-1", 1), [](bool) {});
+  One->State->merge(server("i-1", 1));
+  Running.Time.advance(3s);
+  REQUIRE(Two->State->routes());
+  CHECK(Two->State->routes()->config().Version == 1);
+  CHECK(Two->State->directory().ready("quote").size() == 1);
+}
+
+TEST_CASE("records are stored once and found by new daemons") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.Time.advance(100ms);
+  bool Stored = false;
+  One->Store->publish(server("i-1", 1), [&](bool Done) { Stored = Done; });
+  Running.Time.advance(100ms);
+  CHECK(Stored);
+  auto Two = Running.daemon("10.0.0.2");
+  Running.Time.advance(100ms);
+  CHECK(Two->State->directory().ready("quote").size() == 1);
+  // A new process beside the same server has nothing to write.
+  One = Running.daemon("10.0.0.1");
+  Running.Time.advance(100ms);
+  uint64_t Writes = Running.Platform.Writes;
+  One->Store->publish(server("i-1", 7), [](bool) {});
+  Running.Time.advance(1s);
+  CHECK(Running.Platform.Writes == Writes);
+}
+
+TEST_CASE("a record whose answer was lost is stored all the same") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.Time.advance(100ms);
+  Running.Platform.LoseAnswers = 1;
+  bool Stored = false;
+  One->Store->publish(server("i-1", 2, EndpointState::Draining),
+                      [&](bool Done) { Stored = Done; });
+  Running.Time.advance(2s);
+  CHECK(Stored);
+}
+
+TEST_CASE("a live server's record that was removed is back in two seconds") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  One->Store->publish(server("i-1", 1), [](bool) {});
+  Running.Time.advance(1s);
+  Result<PlatformObject, PlatformError> Object =
+      Running.Platform.Store.read("endpoints/i-1");
+  REQUIRE(Object);
+  REQUIRE(
+      Running.Platform.Store.remove("endpoints/i-1", Object.value().Version));
+  Running.Platform.wake();
+  Running.Time.advance(2s);
+  CHECK(Running.Platform.Store.read("endpoints/i-1"));
+}
+
+TEST_CASE("the record of a server that left is kept for a while, then "
+          "removed") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  One->Store->publish(server("i-1", 1), [](bool) {});
+  Running.Time.advance(1s);
+  One->Store->publish(server("i-1", 2, EndpointState::Gone), [](bool) {});
+  Running.Time.advance(10s);
+  CHECK(Running.Platform.Store.read("endpoints/i-1"));
+  Running.Time.advance(15s);
+  CHECK_FALSE(Running.Platform.Store.read("endpoints/i-1"));
+}
+
+TEST_CASE("records of other writers name no server and stop nothing") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.operatorWrites("endpoints/i-9", R"({"id": 3})");
+  Running.operatorWrites("endpoints/i-8", "no JSON");
+  Running.operatorWrites("endpoints/i-7", formatEndpoint(server("i-6", 1)));
+  Running.operatorWrites("rollouts/quote", R"({"service": []})");
+  Running.Time.advance(1s);
+  CHECK(One->State->directory().all().empty());
+  Running.operatorWrites("endpoints/i-1", formatEndpoint(server("i-1", 1)));
+  Running.Time.advance(2s);
+  CHECK(One->State->directory().all().size() == 1);
+}
+
+TEST_CASE("two daemons decide on a rollout at once: one status stands") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  auto Two = Running.daemon("10.0.0.2");
+  Running.operatorWrites(
+      "rollouts/quote",
+      R"({"service": "quote", "targetVersion": "v2", "durationS": 16})");
+  Running.Time.advance(1s);
+  One->Store->writeRollout("quote", {RolloutState::RolledBack, "v2", 0, 1s});
+  Two->Store->writeRollout("quote", {RolloutState::Running, "v2", 0.5, 1s});
+  Running.Time.advance(2s);
+  const Rollout *First = One->State->rollouts().find("quote");
+  const Rollout *Second = Two->State->rollouts().find("quote");
+  REQUIRE(First->Recorded);
+  REQUIRE(Second->Recorded);
+  CHECK(First->Recorded->State == Second->Recorded->State);
+  CHECK(First->Revision == Second->Revision);
+}
+
+TEST_CASE("a host that died without a word is removed from the platform") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  auto Two = Running.daemon("10.0.0.2");
+  MeshEndpoint Dead = server("i-3", 1);
+  Dead.Gate = {"10.0.0.3", 7000};
+  Dead.Server = {"10.0.0.3", 8000};
+  Running.operatorWrites("endpoints/i-3", formatEndpoint(Dead));
+  One->Store->publish(server("i-1", 1), [](bool) {});
+  Running.Time.advance(10s);
+  CHECK(Running.Platform.Store.read("endpoints/i-3"));
+  Running.Time.advance(40s);
+  CHECK_FALSE(Running.Platform.Store.read("endpoints/i-3"));
+  CHECK(Running.Platform.Store.read("endpoints/i-1"));
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -88,16 +88,15 @@
 TEST_CASE("a missing or wrong field gives one error that names it") {
   std::string Text = SettingsText;
   size_t At = Text.find("graceS = 6");
-  auto Missing = platform::parseSettings(
-      std::string(Text).erase(At, 10), "node.toml");
+  auto Missing =
+      platform::parseSettings(std::string(Text).erase(At, 10), "node.toml");
   REQUIRE_FALSE(Missing);
   CHECK(Missing.error().Field == "bounds.graceS");
   auto Wrong = platform::parseSettings(
       std::string(Text).replace(Text.find("10.1.0.8:8304"), 13, "nowhere"),
       "node.toml");
   REQUIRE_FALSE(Wrong);
-  CHECK(Wrong.error().text().find("listenAddrs.outbound") !=
-        std::string::npos);
+  CHECK(Wrong.error().text().find("listenAddrs.outbound") != std::string::npos);
   CHECK_FALSE(platform::parseSettings("no = [toml", "node.toml"));
   CHECK_FALSE(platform::loadSettings("/nonexistent"));
 }
@@ -119,8 +118,7 @@
 }
 
 TEST_CASE("liveness reports are decoded; incomplete ones name no server") {
-  std::optional<ServerReport> Report =
-      platform::parseReport("i-1", ReportText);
+  std::optional<ServerReport> Report = platform::parseReport("i-1", ReportText);
   REQUIRE(Report);
   CHECK(Report->Slots == 9);
   CHECK(Report->Born == 1777844091833);
