--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -47,7 +47,7 @@
                 });
   auto Ignore = [](bool) {};
   // While the platform is away only one watch asks for it.
-  auto ConfigReachable = [this] { return ConfigWatch->reachable(); };
+  auto MayRetry = [this] { return !ConfigWatch->lost(); };
   ConfigWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice, configWatch(Codec),
       KindWatch::Handlers{[this](const PlatformListing &Listing) {
@@ -78,7 +78,7 @@
                             else
                               takeRollout(Change.Object);
                           },
-                          Ignore, ConfigReachable});
+                          Ignore, MayRetry});
   EndpointWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
       staleWatch(Codec.endpointPrefix(), EndpointCollect),
@@ -91,7 +91,7 @@
             else
               takeEndpoint(Change.Object);
           },
-          Ignore, ConfigReachable});
+          Ignore, MayRetry});
   ConfigWatch->start();
   RolloutWatch->start();
   EndpointWatch->start();
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -50,6 +50,9 @@
   // Tries again now if a failure was left to resume().
   void resume();
 
+  // Whether the platform did not answer the last time.
+  bool lost() const { return Lost; }
+
   bool reachable() const { return Failures == 0 && Known; }
 
 private:
