--- a/cyclamenwind/http/pipeline_server.cpp
+++ b/cyclamenwind/http/pipeline_server.cpp
@@ -124,7 +124,7 @@
 
   void received(std::string_view Bytes) override {
     LastActive = Server.TheLoop.now();
-    if (Closing)
+    if (Closing || Server.ReadingStopped)
       return;
     Pending.append(Bytes);
     parse();
@@ -146,7 +146,8 @@
       std::shared_ptr<PipelinedExchange> Done = Queue.front();
       Queue.pop_front();
       Done->Connection = nullptr;
-      bool Last = Queue.empty() && !Parser->midMessage() && Pending.empty();
+      bool Last = Queue.empty() && (Server.ReadingStopped ||
+                                    (!Parser->midMessage() && Pending.empty()));
       bool Close = !Done->KeepAlive || (Server.Draining && Last);
       Stream.write(serialize(*Done->Answer, Done->Head, Close));
       if (Close) {
@@ -191,8 +192,16 @@
     return idle() && Now - LastActive > Server.Limits.IdleTimeout;
   }
 
+  // What was read in part, and what follows, is dropped.
+  void stopReading() {
+    Pending.clear();
+    if (Queue.empty() && !Closing)
+      close();
+  }
+
   void close() {
     Closing = true;
+    Stream.resumeReading();
     loseAll();
     Pending.clear();
     Stream.finish();
@@ -336,6 +345,12 @@
       Each->close();
 }
 
+void PipelineServer::stopReading() {
+  Draining = ReadingStopped = true;
+  for (auto &[Each, Owned] : Connections)
+    Each->stopReading();
+}
+
 size_t PipelineServer::unfinished() const {
   size_t Count = 0;
   for (const auto &[Each, Owned] : Connections)
--- a/cyclamenwind/http/pipeline_server.h
+++ b/cyclamenwind/http/pipeline_server.h
@@ -44,6 +44,10 @@
   // CloseIdle.
   void drain(bool CloseIdle);
 
+  // Reads no further requests: what has not been read yet is left to the caller
+  // to send elsewhere. Each connection closes behind its last answer.
+  void stopReading();
+
   void stopAccepting() { Listener.reset(); }
 
   // Requests read and not yet answered, and responses not yet written.
@@ -64,6 +68,7 @@
       Connections;
   TimerHandle SweepTimer;
   bool Draining = false;
+  bool ReadingStopped = false;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -237,7 +237,7 @@
   if (!Closed) {
     Closed = true;
     CallerServer->stopAccepting();
-    CallerServer->drain(/*CloseIdle=*/true);
+    CallerServer->stopReading();
     Services.find<Gate>("gate").refuseNew();
   }
   if (unfinished() > 0)
--- a/tests/http_pipeline_server_test.cpp
+++ b/tests/http_pipeline_server_test.cpp
@@ -138,6 +138,28 @@
   CHECK(Close < Stream->Received.find("two"));
 }
 
+TEST_CASE("pipelining caller: a stopping server takes no further requests, "
+          "answers those it has, and closes") {
+  Bench Running(18109);
+  auto Stream = Running.send(get("/1") + get("/2"), 2);
+  Running.Server->drain(/*CloseIdle=*/false);
+  Stream->write(get("/3"));
+  REQUIRE(
+      runUntil(Running.TheLoop, [&] { return Running.Received.size() == 3; }));
+  Running.Received[0]->reply({200, {}, "one"});
+  runFor(Running.TheLoop, 20ms);
+  Running.Server->stopReading();
+  Stream->write(get("/4"));
+  runFor(Running.TheLoop, 50ms);
+  CHECK(Running.Received.size() == 3);
+  Running.Received[1]->reply({200, {}, "two"});
+  Running.Received[2]->reply({200, {}, "three"});
+  REQUIRE(runUntil(Running.TheLoop, [&] { return Stream->Ended; }));
+  CHECK(Stream->Received.find("three") != std::string::npos);
+  CHECK(Running.Received.size() == 3);
+  CHECK(Running.Server->unfinished() == 0);
+}
+
 TEST_CASE("a caller that leaves is noticed") {
   Bench Running(18107);
   auto Stream = Running.send(get("/1"), 1);
