Requests go to gates with a standing stream; connects given up early as not run

Change: a request is sent only to gates with a standing stream while there are any; peers are contacted as soon as they are known; a stream that does not stand after 250 ms is given up, and what was to be sent on it has not run. Tests: hosts gone for good; no host can be reached.

--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -20,6 +20,9 @@
 // A gate that has not been heard for this long is taken to be unreachable. A
 // host's processor share may be used up for most of a tenth of a second.
 constexpr Duration SilentAfter = 500ms;
+// A stream that does not stand after this long is given up: what was to be sent
+// on it has not been sent.
+constexpr Duration ConnectPatience = 250ms;
 // A stream on which nothing came for this long though requests wait is
 // replaced: a connection may have gone silent for good while new ones work.
 constexpr Duration RenewAfter = 1s;
@@ -133,7 +136,19 @@
   }
   std::vector<const MeshEndpoint *> Eligible = State->rollouts().eligible(
       Chosen.Service, State->directory().ready(Chosen.Service), *Dice);
-  return Chooser->choose(Eligible, Chosen.Tried, Chosen.Route->Objective, Now);
+  return Chooser->choose(reachable(Eligible), Chosen.Tried,
+                         Chosen.Route->Objective, Now);
+}
+
+// Those of Candidates to whose gate a stream stands, or all if there are none:
+// requests are not used to find out whether a host lives.
+std::vector<const MeshEndpoint *> Forwarder::reachable(
+    const std::vector<const MeshEndpoint *> &Candidates) const {
+  std::vector<const MeshEndpoint *> Linked;
+  for (const MeshEndpoint *Each : Candidates)
+    if (Each->Gate == Peers->self() || Peers->linkUp(Each->Gate))
+      Linked.push_back(Each);
+  return Linked.empty() ? Candidates : Linked;
 }
 
 void Forwarder::dispatch(uint64_t Id, bool Repeat) {
@@ -358,7 +373,8 @@
     if (Each.LocalTicket != 0)
       continue;
     Duration Quiet = Now - std::max(Each.Sent, Peers->lastHeard(Each.Gate));
-    if (Quiet > RenewAfter)
+    bool Connecting = !Peers->linkUp(Each.Gate);
+    if (Quiet > (Connecting ? ConnectPatience : RenewAfter))
       Dead.insert(Each.Gate);
     else if (Quiet > SilentAfter)
       Silent.push_back(Number);
--- a/cyclamenwind/mesh/forwarder.h
+++ b/cyclamenwind/mesh/forwarder.h
@@ -81,6 +81,8 @@
 
   void dispatch(uint64_t Id, bool Repeat);
   const MeshEndpoint *chooseServer(Call &Chosen, TimePoint Now);
+  std::vector<const MeshEndpoint *>
+  reachable(const std::vector<const MeshEndpoint *> &Candidates) const;
   void send(uint64_t Id, const MeshEndpoint &Target, TimePoint Now);
   wire::ForwardRequest messageFor(const Call &Sent, uint64_t AttemptNumber,
                                   const MeshEndpoint &Target,
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -40,6 +40,7 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveState(From, Payload);
                 });
+  State->onEndpoint([this](const MeshEndpoint &Each) { contact(Each.Gate); });
   State->onBehind([this](const Address &Peer) { behind(Peer); });
   LastTick = TrustedFrom = Time->now();
   Ticker = Timers->every(TickPeriod, [this] { tick(); });
@@ -126,7 +127,7 @@
   if (Now - LastTick > 2 * TickPeriod)
     TrustedFrom = Now;
   LastTick = Now;
-  keepContact(Now);
+  keepContact();
   removeDead(Now);
   if (Store->configReachable() && Store->endpointsReachable())
     return;
@@ -135,23 +136,28 @@
     pull(Linked[Dice->below(Linked.size())]);
 }
 
-void PeerSync::keepContact(TimePoint Now) {
-  for (const Address &Each : State->directory().gates()) {
-    if (Each == Peers->self())
-      continue;
-    auto [Position, IsNew] = Contacts.emplace(Each, Contact{Now, Now, 0});
-    Contact &Entry = Position->second;
-    if (Peers->linkUp(Each)) {
-      Entry.LastUp = Now;
-      Entry.Tries = 0;
-      continue;
-    }
-    if (Now < Entry.NextTry)
-      continue;
-    int Doublings = std::min(Entry.Tries++, MaxContactDoublings);
-    Entry.NextTry = Now + ContactBase * (1 << Doublings);
-    Peers->probe(Each);
+void PeerSync::keepContact() {
+  for (const Address &Each : State->directory().gates())
+    contact(Each);
+}
+
+// Opens a stream to Daemon if none stands and its turn has come.
+void PeerSync::contact(const Address &Daemon) {
+  if (Daemon == Peers->self())
+    return;
+  TimePoint Now = Time->now();
+  auto [Position, IsNew] = Contacts.emplace(Daemon, Contact{Now, Now, 0});
+  Contact &Entry = Position->second;
+  if (Peers->linkUp(Daemon)) {
+    Entry.LastUp = Now;
+    Entry.Tries = 0;
+    return;
   }
+  if (Now < Entry.NextTry)
+    return;
+  int Doublings = std::min(Entry.Tries++, MaxContactDoublings);
+  Entry.NextTry = Now + ContactBase * (1 << Doublings);
+  Peers->probe(Daemon);
 }
 
 void PeerSync::removeDead(TimePoint Now) {
--- a/cyclamenwind/mesh/peer_sync.h
+++ b/cyclamenwind/mesh/peer_sync.h
@@ -42,7 +42,8 @@
   void pull(const Address &From);
   void behind(const Address &Peer);
   void tick();
-  void keepContact(TimePoint Now);
+  void keepContact();
+  void contact(const Address &Daemon);
   void removeDead(TimePoint Now);
 
   const MeshCodec &Codec;
--- a/testing/fake_peers.cpp
+++ b/testing/fake_peers.cpp
@@ -101,6 +101,8 @@
 void FakePeers::send(const Address &To, FrameType Type,
                      std::string_view Payload) {
   count(Type, Payload.size());
+  if (Unanswering.count(To) != 0)
+    return;
   if (Network.OnStream)
     Network.OnStream(Self, To, Type, std::string(Payload));
   Network.post({Self, To, Type, std::string(Payload)}, /*Datagram=*/false);
@@ -118,19 +120,21 @@
 }
 
 bool FakePeers::linkUp(const Address &To) const {
-  return Network.connected(Self, To);
+  return Network.connected(Self, To) && Unanswering.count(To) == 0;
 }
 
 // A connected peer that is not paused always gives a sign of life.
 TimePoint FakePeers::lastHeard(const Address &To) const {
-  bool Heard = Network.connected(Self, To) && Network.Paused.count(To) == 0;
+  bool Heard = linkUp(To) && Network.Paused.count(To) == 0;
   return Heard ? Network.Time.now() : TimePoint();
 }
 
 void FakePeers::probe(const Address &) {}
 
 void FakePeers::renew(const Address &To) {
-  Network.linkFailed(Self, To, LinkEnd::Lost);
+  Network.linkFailed(Self, To,
+                     Unanswering.count(To) == 0 ? LinkEnd::Lost
+                                                : LinkEnd::NeverConnected);
 }
 
 std::vector<Address> FakePeers::linked() const {
--- a/testing/fake_peers.h
+++ b/testing/fake_peers.h
@@ -81,6 +81,9 @@
   std::string_view name() const override { return "peers"; }
   void start(Kernel &) override {}
 
+  // Peers that do not answer the opening of a stream, as a host without power.
+  std::set<Address> Unanswering;
+
   void handle(FrameType Type, FrameHandler Handler) override;
   void onLinkDown(LinkDownHandler Handler) override;
   void send(const Address &To, FrameType Type,
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -439,6 +439,27 @@
                                              "Cyclamenwind-Attempt-Id")] == 0);
 }
 
+TEST_CASE("hosts gone for good: requests go to those that can be reached") {
+  Mesh Running(3);
+  Running.Daemons[0].Peers->Unanswering = {{"10.0.0.2", 7000}};
+  for (int I = 0; I < 30; ++I) {
+    auto Received = Running.request("/submit/1");
+    Running.Time.advance(100ms);
+    REQUIRE(Received->Answer);
+    CHECK(Received->Answer->Status == 200);
+  }
+}
+
+TEST_CASE("no host can be reached: refused soon, as not run") {
+  Mesh Running(2);
+  Running.report(0, 2, /*Draining=*/true);
+  Running.Daemons[0].Peers->Unanswering = {{"10.0.0.2", 7000}};
+  auto Received = Running.request("/submit/1");
+  Running.Time.advance(500ms);
+  REQUIRE(Received->Answer);
+  CHECK(Received->Answer->Status == 503);
+}
+
 TEST_CASE("overload: what cannot be served is refused at once with a time to "
           "come back") {
   Mesh Running(2);
