--- a/cyclamenwind/ctl/command_line.cpp
+++ b/cyclamenwind/ctl/command_line.cpp
@@ -12,7 +12,7 @@
 
 namespace options = boost::program_options;
 
-constexpr std::array<EnumName<CommandName>, 11> CommandNames = {{
+constexpr std::array<EnumName<CommandName>, 12> CommandNames = {{
     {CommandName::Validate, "validate"},
     {CommandName::Accept, "accept"},
     {CommandName::Diff, "diff"},
@@ -23,6 +23,7 @@
     {CommandName::TakeBack, "take-back"},
     {CommandName::Drain, "drain"},
     {CommandName::Explain, "explain"},
+    {CommandName::Trace, "trace"},
     {CommandName::Wait, "wait"},
 }};
 
@@ -35,7 +36,7 @@
   const char *Options; // Names of its own options, each between spaces.
 };
 
-constexpr std::array<Usage, 11> Usages = {{
+constexpr std::array<Usage, 12> Usages = {{
     {CommandName::Validate, 1, "FILE", "check a document, without a daemon",
      ""},
     {CommandName::Accept, 1, "FILE", "accept a document as the next version",
@@ -52,6 +53,8 @@
     {CommandName::Drain, 0, "", "let a daemon finish its calls and end", ""},
     {CommandName::Explain, 2, "METHOD PATH",
      "tell which backend servers a request would get", " caller-key "},
+    {CommandName::Trace, 2, "ID FILE...",
+     "show what daemons decided on a request, from their logs", ""},
     {CommandName::Wait, 0, "", "wait until a version is in force everywhere",
      " version members timeout-ms "},
 }};
@@ -153,7 +156,9 @@
 Result<CommandLine, UsageText> checked(Raw &Given, const Usage &Command) {
   CommandLine &Line = Given.Line;
   Line.Arguments.assign(Given.Words.begin() + 1, Given.Words.end());
-  if (Line.Arguments.size() != Command.Arguments)
+  bool TakesMore = Line.Command == CommandName::Trace;
+  if (Line.Arguments.size() < Command.Arguments ||
+      (Line.Arguments.size() > Command.Arguments && !TakesMore))
     return bad(std::string(nameOf(Command.Command)) + " takes " +
                    (Command.Arguments == 0 ? "no argument" : Command.Takes),
                helpFor(Command));
@@ -161,7 +166,9 @@
     return bad("--output is text or json", helpFor(Command));
   Line.Json = Given.Output == "json";
   Line.Daemon = parseAddress(Given.Daemon);
-  if (!Line.Daemon && Line.Command != CommandName::Validate)
+  bool AsksDaemon = Line.Command != CommandName::Validate &&
+                    Line.Command != CommandName::Trace;
+  if (!Line.Daemon && AsksDaemon)
     return bad("--daemon needs the operators' address of a daemon, such as "
                "127.0.0.1:7200",
                helpFor(Command));
--- a/cyclamenwind/ctl/command_line.h
+++ b/cyclamenwind/ctl/command_line.h
@@ -25,6 +25,7 @@
   TakeBack,
   Drain,
   Explain,
+  Trace,
   Wait,
 };
 
--- a/cyclamenwind/ctl/commands.cpp
+++ b/cyclamenwind/ctl/commands.cpp
@@ -30,6 +30,8 @@
     return drain(Line, Link);
   case CommandName::Explain:
     return explain(Line, Link);
+  case CommandName::Trace:
+    return trace(Line);
   case CommandName::Wait:
     return waitInForce(Line, Link, Progress);
   }
--- a/cyclamenwind/ctl/commands.h
+++ b/cyclamenwind/ctl/commands.h
@@ -34,6 +34,10 @@
 CommandResult moves(const CommandLine &Line, Connection &Link);
 CommandResult takeBack(const CommandLine &Line, Connection &Link);
 
+// Of logs (trace_command.cpp): what daemons decided on one request and on the
+// calls made inside it, in the order of time.
+CommandResult trace(const CommandLine &Line);
+
 // Runs the command line; returns the exit status.
 int run(int Count, const char *const *Arguments, Connection &Link,
         std::ostream &Out, std::ostream &Errors);
