Relays in each failure domain; the others follow by late reads

Change: two daemons of each failure domain wait for changes and tell all others; the others watch the configuration late (a tenth of the price) and read it when they hear of a newer one; records and rollouts they list every 15 s. A late listing does not remove what was written after it. Test: many hosts, with late watches that show nothing for seconds.

--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -98,7 +98,8 @@
           Settings.ServerService,
           {Settings.RetryRatio, Settings.RetryExtra, Settings.RetryWindow}},
       Adapters.Format));
-  Services.add(std::make_unique<StoreSync>(Client, Adapters.Codec));
+  Services.add(std::make_unique<StoreSync>(Client, Adapters.Codec,
+                                           Settings.FailureDomain));
   Services.add(std::make_unique<Registry>(
       RegistryOptions{Settings.Peers, Settings.ReportPeriod}));
   Services.add(std::make_unique<PeerSync>(Adapters.Codec));
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -17,21 +17,8 @@
 constexpr Duration ConfigCollect = 700ms;
 constexpr Duration RolloutCollect = 200ms;
 constexpr Duration EndpointCollect = 1s;
-
-KindWatchOptions configWatch(const MeshCodec &Codec) {
-  KindWatchOptions Options;
-  Options.Prefix = Codec.configPrefix();
-  Options.Collect = ConfigCollect;
-  return Options;
-}
-
-KindWatchOptions staleWatch(std::string Prefix, Duration Collect) {
-  KindWatchOptions Options;
-  Options.Prefix = std::move(Prefix);
-  Options.Collect = Collect;
-  Options.Stale = true;
-  return Options;
-}
+// Two, so that one may be away.
+constexpr size_t RelaysPerDomain = 2;
 
 } // namespace
 
@@ -45,11 +32,16 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveRollout(From, Payload);
                 });
+  Peers->handle(FrameType::ConfigNotice,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveNotice(From, Payload);
+                });
   auto Ignore = [](bool) {};
   // While the platform is away only one watch asks for it.
   auto MayRetry = [this] { return !ConfigWatch->lost(); };
   ConfigWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice, configWatch(Codec),
+      Platform, *Timers, *Dice,
+      following(Codec.configPrefix(), ConfigCollect, FollowMode::WatchStale),
       KindWatch::Handlers{[this](const PlatformListing &Listing) {
                             for (const PlatformObject &Each : Listing.Objects)
                               takeConfig(Each);
@@ -66,30 +58,25 @@
                           }});
   RolloutWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
-      staleWatch(Codec.rolloutPrefix(), RolloutCollect),
-      KindWatch::Handlers{[this](const PlatformListing &Listing) {
-                            for (const PlatformObject &Each : Listing.Objects)
-                              takeRollout(Each);
-                          },
-                          [this](const PlatformChange &Change) {
-                            if (Change.Removed)
-                              State->rollouts().remove(Change.Object.Key.substr(
-                                  Codec.rolloutPrefix().size()));
-                            else
-                              takeRollout(Change.Object);
-                          },
-                          Ignore, MayRetry});
+      following(Codec.rolloutPrefix(), RolloutCollect, FollowMode::ListStale),
+      KindWatch::Handlers{
+          [this](const PlatformListing &Listing) {
+            for (const PlatformObject &Each : Listing.Objects)
+              takeRollout(Each);
+          },
+          [this](const PlatformChange &Change) { rolloutChanged(Change); },
+          Ignore, MayRetry});
   EndpointWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
-      staleWatch(Codec.endpointPrefix(), EndpointCollect),
+      following(Codec.endpointPrefix(), EndpointCollect, FollowMode::ListStale),
       KindWatch::Handlers{
           [this](const PlatformListing &Listing) { endpointsListed(Listing); },
           [this](const PlatformChange &Change) {
             if (Change.Removed)
               endpointRemoved(
                   Change.Object.Key.substr(Codec.endpointPrefix().size()));
-            else
-              takeEndpoint(Change.Object);
+            else if (takeEndpoint(Change.Object))
+              announceEndpoint(Change.Object);
           },
           Ignore, MayRetry});
   ConfigWatch->start();
@@ -97,6 +84,60 @@
   EndpointWatch->start();
 }
 
+// Options for Prefix: relays wait for changes, others follow by OfOthers.
+KindWatchOptions StoreSync::following(const std::string &Prefix,
+                                      Duration Collect, FollowMode OfOthers) {
+  KindWatchOptions Options;
+  Options.Prefix = Prefix;
+  Options.Collect = Collect;
+  bool Fresh = OfOthers == FollowMode::WatchStale;
+  Options.Mode = [this, OfOthers, Fresh] {
+    if (!isRelay())
+      return OfOthers;
+    return Fresh ? FollowMode::Watch : FollowMode::WatchStale;
+  };
+  return Options;
+}
+
+// The first few reached daemons of each failure domain are its relays.
+bool StoreSync::isRelay() const {
+  std::set<Address> Before;
+  for (const auto &[Id, Each] : State->directory().all())
+    if (Each.State != EndpointState::Gone &&
+        Each.FailureDomain == FailureDomain && Each.Gate < Peers->self() &&
+        Peers->linkUp(Each.Gate))
+      Before.insert(Each.Gate);
+  return Before.size() < RelaysPerDomain;
+}
+
+void StoreSync::readConfig() {
+  Platform.read(
+      Codec.configKey(), [this](Result<PlatformObject, PlatformError> Read) {
+        if (Read)
+          takeConfig(Read.value());
+        else
+          logWarning("config_read_failed", {{"error", nameOf(Read.error())}});
+      });
+}
+
+void StoreSync::receiveNotice(const Address &From, std::string_view Payload) {
+  Result<wire::ConfigNotice, FrameError> Message =
+      decodeMessage<wire::ConfigNotice>(Payload);
+  if (Message)
+    State->heardRevision(From, static_cast<uint64_t>(Message.value().revision));
+  else
+    logWarning("frame_malformed", {{"peer", From.text()}});
+}
+
+// Tells all daemons that there is a newer configuration.
+void StoreSync::announceConfig() {
+  wire::ConfigNotice Message;
+  Message.revision = static_cast<int64_t>(State->configRevision());
+  for (const Address &Each : State->directory().gates())
+    if (Each != Peers->self())
+      Peers->sendMessage(Each, FrameType::ConfigNotice, Message);
+}
+
 void StoreSync::stop() {
   ConfigWatch.reset();
   RolloutWatch.reset();
@@ -110,11 +151,13 @@
       Object.Version <= State->configRevision())
     return;
   std::optional<MeshConfig> Config = Codec.config(Object.Value, Object.Version);
-  if (Config)
-    State->apply(std::move(*Config), Object.Value);
-  else
+  if (!Config) {
     logError("config_unreadable",
              {{"key", Object.Key}, {"revision", Object.Version}});
+    return;
+  }
+  if (State->apply(std::move(*Config), Object.Value) && isRelay())
+    announceConfig();
 }
 
 void StoreSync::takeRollout(const PlatformObject &Object) {
@@ -136,6 +179,19 @@
     Known = Object;
 }
 
+// Only relays see changes; they tell the others.
+void StoreSync::rolloutChanged(const PlatformChange &Change) {
+  const PlatformObject &Object = Change.Object;
+  if (Change.Removed) {
+    State->rollouts().remove(Object.Key.substr(Codec.rolloutPrefix().size()));
+    return;
+  }
+  bool IsNew = Object.Version > RolloutObjects[Object.Key].Version;
+  takeRollout(Object);
+  if (IsNew)
+    announceRollout(Object);
+}
+
 void StoreSync::announceRollout(const PlatformObject &Object) {
   wire::RolloutAnnounce Message;
   Message.key = Object.Key;
@@ -159,16 +215,26 @@
                Told.status});
 }
 
-void StoreSync::takeEndpoint(const PlatformObject &Object) {
+// Says whether it changed what is known of the server.
+bool StoreSync::takeEndpoint(const PlatformObject &Object) {
   std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
   if (!Record || endpointKey(Record->Id) != Object.Key) {
     logWarning("endpoint_unreadable", {{"key", Object.Key}});
-    return;
+    return false;
   }
   StoredRecord &Known = Stored[Record->Id];
   if (Object.Version >= Known.Version)
     Known = {Object.Version, Record};
-  State->merge(*Record);
+  return State->merge(*Record);
+}
+
+// Tells daemons that the server's own did not know of.
+void StoreSync::announceEndpoint(const PlatformObject &Object) {
+  wire::EndpointAnnounce Message;
+  Message.endpoints.push_back(recordOf(*parseEndpoint(Object.Value)));
+  for (const Address &Each : State->directory().gates())
+    if (Each != Peers->self())
+      Peers->sendMessage(Each, FrameType::EndpointAnnounce, Message);
 }
 
 void StoreSync::endpointsListed(const PlatformListing &Listing) {
@@ -179,7 +245,8 @@
   }
   std::vector<std::string> Missing;
   for (const auto &[Id, Each] : Stored)
-    if (Present.count(Id) == 0)
+    // A listing that is seconds old lacks what was written since.
+    if (Present.count(Id) == 0 && Each.Version <= Listing.Revision)
       Missing.push_back(Id);
   for (const std::string &Each : Missing)
     endpointRemoved(Each);
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,8 +5,11 @@
 // the status of rollouts. Every write is conditional on the version that was
 // read. A write without an answer is resolved by reading the object back.
 //
-// Records and rollouts are followed by reads that may be seconds old, which
-// cost a tenth: daemons tell each other of changes directly (peer_sync.h).
+// A few daemons of each failure domain, its relays, wait for changes and tell
+// all others; so do the daemons that make them. The others follow the
+// configuration by watches that may be seconds late, which cost a tenth, and
+// read it when they hear of a newer one; records and rollouts they list from
+// time to time.
 //
 // Nothing on the platform expires. The record of a server that left is removed
 // by the daemon that published it; that of a host that died without a word by
@@ -45,8 +48,10 @@
 // A service named "store_sync".
 class StoreSync final : public Service, public EndpointPublisher {
 public:
-  StoreSync(PlatformClient &Platform, const MeshCodec &Codec)
-      : Platform(Platform), Codec(Codec) {}
+  StoreSync(PlatformClient &Platform, const MeshCodec &Codec,
+            std::string FailureDomain)
+      : Platform(Platform), Codec(Codec),
+        FailureDomain(std::move(FailureDomain)) {}
 
   std::string_view name() const override { return "store_sync"; }
   void start(Kernel &Host) override;
@@ -61,6 +66,9 @@
   // Writes the next status of Service's rollout, if its object is unchanged.
   void writeRollout(const std::string &Service, const RolloutStatus &Next);
 
+  // Reads the configuration now.
+  void readConfig();
+
   // Whether the configuration is being followed.
   bool configReachable() const {
     return ConfigWatch && ConfigWatch->reachable();
@@ -84,7 +92,14 @@
   void announceRollout(const PlatformObject &Object);
   void receiveRollout(const Address &From, std::string_view Payload);
   bool isStored(const MeshEndpoint &Record) const;
-  void takeEndpoint(const PlatformObject &Object);
+  void rolloutChanged(const PlatformChange &Change);
+  bool takeEndpoint(const PlatformObject &Object);
+  void announceEndpoint(const PlatformObject &Object);
+  KindWatchOptions following(const std::string &Prefix, Duration Collect,
+                             FollowMode OfOthers);
+  bool isRelay() const;
+  void announceConfig();
+  void receiveNotice(const Address &From, std::string_view Payload);
   void endpointsListed(const PlatformListing &Listing);
   void endpointRemoved(const std::string &Id);
   void write(const std::string &Id);
@@ -99,6 +114,7 @@
 
   PlatformClient &Platform;
   const MeshCodec &Codec;
+  std::string FailureDomain;
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
   Random *Dice = nullptr;
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -23,12 +23,12 @@
   };
 }
 
-void KindWatch::list() {
+void KindWatch::list(bool Stale) {
   PlatformDone<PlatformListing> Done = guarded<PlatformListing>(
       [this](Result<PlatformListing, PlatformError> Outcome) {
         listed(std::move(Outcome));
       });
-  if (Options.Stale)
+  if (Stale)
     Platform.listStale(Options.Prefix, std::move(Done));
   else
     Platform.list(Options.Prefix, std::move(Done));
@@ -39,19 +39,33 @@
     failed(Outcome.error());
     return;
   }
-  Revision = Outcome.value().Revision;
+  Revision = std::max(Revision, Outcome.value().Revision);
   Known = true;
   succeeded();
   Notify.Listed(Outcome.value());
-  wait();
+  follow();
+}
+
+void KindWatch::follow() {
+  FollowMode Mode = Options.Mode ? Options.Mode() : FollowMode::Watch;
+  if (Mode != FollowMode::ListStale) {
+    wait(Mode == FollowMode::WatchStale);
+    return;
+  }
+  Next = Timers.after(Options.ListPeriod, [this] {
+    if (Options.Mode() == FollowMode::ListStale)
+      list(/*Stale=*/true);
+    else
+      follow();
+  });
 }
 
-void KindWatch::wait() {
+void KindWatch::wait(bool Stale) {
   PlatformDone<WatchBatch> Done =
       guarded<WatchBatch>([this](Result<WatchBatch, PlatformError> Outcome) {
         changed(std::move(Outcome));
       });
-  if (Options.Stale)
+  if (Stale)
     Platform.watchStale(Options.Prefix, Revision, Options.Wait,
                         std::move(Done));
   else
@@ -68,13 +82,15 @@
   for (const PlatformChange &Each : Outcome.value().Changes)
     Notify.Changed(Each);
   bool Any = !Outcome.value().Changes.empty();
-  Next = Timers.after(Any ? Options.Collect : Duration(0), [this] { wait(); });
+  Next =
+      Timers.after(Any ? Options.Collect : Duration(0), [this] { follow(); });
 }
 
 void KindWatch::failed(PlatformError Error) {
   if (Error == PlatformError::WatchGap) {
     Known = false;
-    Next = Timers.after(Duration(0), [this] { list(); });
+    Revision = 0;
+    Next = Timers.after(Duration(0), [this] { list(/*Stale=*/false); });
     return;
   }
   ++Failures;
@@ -94,9 +110,9 @@
 
 void KindWatch::proceed() {
   if (Known)
-    wait();
+    follow();
   else
-    list();
+    list(/*Stale=*/false);
 }
 
 void KindWatch::resume() {
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -1,6 +1,6 @@
 // KindWatch: keeps up with all objects under a prefix of the platform.
 //
-// Reads the listing, then waits for changes from its revision on. After a
+// Reads the listing, then follows changes from its revision on. After a
 // failure it waits with backoff and continues; after a gap in the history it
 // reads the listing anew. Changes are collected for a short time between two
 // waits, so that a burst costs few calls.
@@ -14,14 +14,23 @@
 
 namespace cyclamenwind {
 
+// How changes are found, from the dearest to the cheapest.
+enum class FollowMode {
+  Watch,      // Waits for changes.
+  WatchStale, // Waits for changes that may be shown seconds late.
+  ListStale,  // Reads the listing from time to time, seconds late.
+};
+
 struct KindWatchOptions {
   std::string Prefix;
   // How long a wait for changes lasts at most.
   Duration Wait = 29s;
   // Pause after changes came, before the next wait.
   Duration Collect = 200ms;
-  // Data that is seconds old will do.
-  bool Stale = false;
+  // Between listings in FollowMode::ListStale.
+  Duration ListPeriod = 15s;
+  // Asked before each wait. Empty: always Watch.
+  std::function<FollowMode()> Mode = {};
 };
 
 class KindWatch {
@@ -45,7 +54,7 @@
   KindWatch(const KindWatch &) = delete;
   KindWatch &operator=(const KindWatch &) = delete;
 
-  void start() { list(); }
+  void start() { list(/*Stale=*/false); }
 
   // Tries again now if a failure was left to resume().
   void resume();
@@ -56,9 +65,10 @@
   bool reachable() const { return Failures == 0 && Known; }
 
 private:
-  void list();
+  void list(bool Stale);
+  void follow();
   void listed(Result<PlatformListing, PlatformError> Outcome);
-  void wait();
+  void wait(bool Stale);
   void changed(Result<WatchBatch, PlatformError> Outcome);
   void failed(PlatformError Error);
   void succeeded();
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -2278,4 +2278,105 @@
   out << ")";
 }
 
+
+ConfigNotice::~ConfigNotice() noexcept {
+}
+
+
+void ConfigNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigNotice");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigNotice &a, ConfigNotice &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigNotice::ConfigNotice(const ConfigNotice& other71) noexcept {
+  revision = other71.revision;
+  __isset = other71.__isset;
+}
+ConfigNotice::ConfigNotice(ConfigNotice&& other72) noexcept {
+  revision = other72.revision;
+  __isset = other72.__isset;
+}
+ConfigNotice& ConfigNotice::operator=(const ConfigNotice& other73) noexcept {
+  revision = other73.revision;
+  __isset = other73.__isset;
+  return *this;
+}
+ConfigNotice& ConfigNotice::operator=(ConfigNotice&& other74) noexcept {
+  revision = other74.revision;
+  __isset = other74.__isset;
+  return *this;
+}
+void ConfigNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigNotice(";
+  out << "revision=" << to_string(revision);
+  out << ")";
+}
+
 }} // namespace
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -17,7 +17,8 @@
   for (auto Each = Watches.begin(); Each != Watches.end();) {
     Result<WatchBatch, PlatformError> Batch =
         Store.changes(Each->Prefix, Each->After);
-    if (Batch && Batch.value().Changes.empty()) {
+    bool Hidden = Each->Stale && !StaleShowsChanges;
+    if (Hidden || (Batch && Batch.value().Changes.empty())) {
       ++Each;
       continue;
     }
@@ -124,6 +125,25 @@
 void FakePlatformClient::watch(const std::string &Prefix, uint64_t Revision,
                                Duration Wait, PlatformDone<WatchBatch> Done) {
   ++Shared.WatchCalls;
+  addWatch(Prefix, Revision, /*Stale=*/false, Wait, std::move(Done));
+}
+
+void FakePlatformClient::listStale(const std::string &Prefix,
+                                   PlatformDone<PlatformListing> Done) {
+  ++Shared.StaleCalls;
+  list(Prefix, std::move(Done));
+}
+
+void FakePlatformClient::watchStale(const std::string &Prefix,
+                                    uint64_t Revision, Duration Wait,
+                                    PlatformDone<WatchBatch> Done) {
+  ++Shared.StaleCalls;
+  addWatch(Prefix, Revision, /*Stale=*/true, Wait, std::move(Done));
+}
+
+void FakePlatformClient::addWatch(const std::string &Prefix, uint64_t Revision,
+                                  bool Stale, Duration Wait,
+                                  PlatformDone<WatchBatch> Done) {
   auto Guarded = [this, Done = std::move(Done), Alive = this->Alive](
                      Result<WatchBatch, PlatformError> Batch) {
     if (*Alive)
@@ -136,7 +156,7 @@
     return;
   }
   uint64_t Id = Shared.NextId++;
-  Shared.Watches.push_back({Id, Prefix, Revision, Guarded});
+  Shared.Watches.push_back({Id, Prefix, Revision, Guarded, Stale});
   Shared.Pending[Id] = Shared.Timers.after(
       Wait, [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
   Shared.wake();
--- a/testing/fake_platform.h
+++ b/testing/fake_platform.h
@@ -25,6 +25,9 @@
   uint64_t Reads = 0;
   uint64_t Writes = 0;
   uint64_t WatchCalls = 0;
+  uint64_t StaleCalls = 0; // Watches and listings that may be late.
+  // Whether late watches are answered when something changes.
+  bool StaleShowsChanges = true;
 
   // Calls that wait for a watch now.
   size_t waiting() const { return Watches.size(); }
@@ -40,6 +43,7 @@
     std::string Prefix;
     uint64_t After;
     PlatformDone<WatchBatch> Done;
+    bool Stale = false;
   };
 
   void expireWatch(uint64_t Id);
@@ -73,6 +77,11 @@
   void watch(const std::string &Prefix, uint64_t Revision, Duration Wait,
              PlatformDone<WatchBatch> Done) override;
 
+  void listStale(const std::string &Prefix,
+                 PlatformDone<PlatformListing> Done) override;
+  void watchStale(const std::string &Prefix, uint64_t Revision, Duration Wait,
+                  PlatformDone<WatchBatch> Done) override;
+
   // Cuts this client off from the platform.
   bool CutOff = false;
 
@@ -81,6 +90,8 @@
   void answer(PlatformDone<T> Done,
               std::function<Result<T, PlatformError>()> Operation,
               bool IsWrite);
+  void addWatch(const std::string &Prefix, uint64_t Revision, bool Stale,
+                Duration Wait, PlatformDone<WatchBatch> Done);
   bool reachable() const { return !CutOff && !Shared.Outage; }
 
   FakePlatform &Shared;
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -50,7 +50,7 @@
     Services.add(std::move(Client));
     Services.add(std::make_unique<FakePeers>(Network, Address{Host, 7000}));
     Services.add(std::make_unique<MeshState>());
-    Services.add(std::make_unique<StoreSync>(*this->Client, Codec));
+    Services.add(std::make_unique<StoreSync>(*this->Client, Codec, "a"));
     Services.add(std::make_unique<PeerSync>(Codec));
     Services.start();
     State = &Services.find<MeshState>("mesh_state");
@@ -103,6 +103,52 @@
   CHECK(One->State->routes()->config().Version == 11);
 }
 
+TEST_CASE("many hosts: a few wait for changes, all have them in force in two "
+          "seconds") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 9; ++I) {
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons.back()->Store->publish(Own, [](bool) {});
+    Running.Time.advance(100ms);
+  }
+  Running.Time.advance(70s);
+  // Late watches show nothing in the next seconds.
+  Running.Platform.StaleShowsChanges = false;
+  for (int Version = 1; Version < 9; ++Version) {
+    Running.operatorWrites("config/main", configText(Version));
+    Running.Time.advance(300ms);
+  }
+  Running.Time.advance(2s - 300ms);
+  for (const auto &Each : Daemons) {
+    REQUIRE(Each->State->routes());
+    CHECK(Each->State->routes()->config().Version == 8);
+    CHECK(Each->State->directory().ready("quote").size() == 9);
+  }
+  CHECK(Running.Platform.StaleCalls > Running.Platform.WatchCalls);
+}
+
+TEST_CASE("a rollout that only relays see reaches all daemons") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 5; ++I) {
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons.back()->Store->publish(Own, [](bool) {});
+    Running.Time.advance(100ms);
+  }
+  Running.Time.advance(20s);
+  Running.operatorWrites(
+      "rollouts/quote",
+      R"({"service": "quote", "targetVersion": "v2", "durationS": 16})");
+  Running.Time.advance(1s);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->rollouts().find("quote") != nullptr);
+}
+
 TEST_CASE("an unreadable configuration leaves the one in force") {
   Bench Running;
   auto One = Running.daemon("10.0.0.1");
