Relays tell their failure domain of every change; metrics of requests and calls

Change: relays pass every change of a record on to their failure domain; listings come soon after a start and more rarely later. Test: many hosts start at once.

--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -161,11 +161,13 @@
       endWithoutAnswer(Id);
     return;
   }
-  if (Repeat)
+  if (Repeat) {
+    Counters->countRepeat(std::string(nameOf(Present.LastReason)));
     logInfo("request_repeated", {{"request", Present.AttemptId},
                                  {"server", Target->Id},
                                  {"cause", nameOf(Present.LastReason)},
                                  {"arrivals", Present.Arrivals}});
+  }
   send(Id, *Target, Now);
 }
 
@@ -299,7 +301,8 @@
   Present.LastReason =
       gateReasonOf(Reply.reason).value_or(GateReason::BadAnswer);
   Present.ExpectedWait = Duration(Reply.expectedWaitUs);
-  if (Reply.arrived)
+  bool Arrived = Reply.arrived;
+  if (Arrived)
     ++Present.Arrivals;
   bool Failed = Reply.outcome != wire::ForwardOutcome::ANSWERED ||
                 Reply.status >= FirstFailureStatus;
@@ -310,7 +313,7 @@
   bool NotRun = Reply.outcome == wire::ForwardOutcome::NOT_RUN;
   if (!NotRun)
     Present.MayHaveRun = true;
-  else if (!Reply.arrived)
+  else if (!Arrived)
     ++Present.Refusals;
   bool Safe = Present.Route->Idempotent ||
               (NotRun && !Present.MayHaveRun && Present.Attempts.empty());
@@ -318,9 +321,9 @@
     Present.Failure = std::move(Reply);
   if (!Present.Attempts.empty())
     return; // Another attempt may still bring an answer.
-  bool Ran = Reply.arrived && !NotRun;
+  bool Ran = Arrived && !NotRun;
   if (Safe && (!Ran || betterServerLeft(Present, Now)) &&
-      mayRepeat(Present, Reply.arrived, Ran, Now)) {
+      mayRepeat(Present, Arrived, Ran, Now)) {
     dispatch(Id, /*Repeat=*/true);
     return;
   }
@@ -505,6 +508,7 @@
   else
     logInfo("request_failed", Fields);
   Counters->countCall(Route, End, CallReason::None);
+  Counters->observeRequest(End, Now - Ended.Received);
   Ended.Caller->reply(Response);
 }
 
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -61,6 +61,7 @@
   Time = &Host.clock();
   Timers = &Host.scheduler();
   Peers = &Host.find<PeerTransport>("peers");
+  Counters = &Host.find<Metrics>("metrics");
   Peers->handle(FrameType::ForwardRequest,
                 [this](const Address &From, std::string_view Payload) {
                   receiveRequest(From, Payload);
@@ -180,6 +181,7 @@
   Server &Target = Beside.at(Running.InstanceId);
   TimePoint Now = Time->now();
   Running.Started = Now;
+  Counters->observeGateWait(Now - Running.Received);
   Duration Remaining = Running.Deadline - Now;
   if (Remaining <= Duration::zero()) {
     Timers->defer([this, Ticket] {
--- a/cyclamenwind/mesh/gate.h
+++ b/cyclamenwind/mesh/gate.h
@@ -19,6 +19,7 @@
 #include "cyclamenwind/mesh/gate_queue.h"
 #include "cyclamenwind/mesh/version_outcomes.h"
 #include "cyclamenwind/mesh/wire_format.h"
+#include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/transport.h"
 #include "cyclamenwind/wire/gen-cpp/mesh_types.h"
 
@@ -128,6 +129,7 @@
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
   PeerTransport *Peers = nullptr;
+  Metrics *Counters = nullptr;
   std::map<std::string, Server> Beside;
   std::map<GateTicket, Request> Requests;
   // Requests received from peers, by peer and the peer's own id.
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -86,8 +86,13 @@
   PooledClientOptions Options;
   Options.Parser.MaxBodyBytes = bodyLimit(Settings);
   Options.Matches = matcherFor(Adapters.Format);
+  auto Counters = std::make_unique<Metrics>();
+  Store->observe(
+      [Raw = Counters.get()](std::string_view Call, std::string_view Outcome) {
+        Raw->countPlatformCall(std::string(Call), std::string(Outcome));
+      });
   Services.add(std::move(Store));
-  Services.add(std::make_unique<Metrics>());
+  Services.add(std::move(Counters));
   Services.add(std::make_unique<MeshState>());
   Services.add(std::make_unique<Gate>(
       std::make_unique<PooledClient>(TheLoop, std::move(Options)),
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -75,8 +75,10 @@
             if (Change.Removed)
               endpointRemoved(
                   Change.Object.Key.substr(Codec.endpointPrefix().size()));
-            else if (takeEndpoint(Change.Object))
+            else {
+              takeEndpoint(Change.Object);
               announceEndpoint(Change.Object);
+            }
           },
           Ignore, MayRetry});
   ConfigWatch->start();
@@ -101,13 +103,11 @@
 
 // The first few reached daemons of each failure domain are its relays.
 bool StoreSync::isRelay() const {
-  std::set<Address> Before;
-  for (const auto &[Id, Each] : State->directory().all())
-    if (Each.State != EndpointState::Gone &&
-        Each.FailureDomain == FailureDomain && Each.Gate < Peers->self() &&
-        Peers->linkUp(Each.Gate))
-      Before.insert(Each.Gate);
-  return Before.size() < RelaysPerDomain;
+  size_t Before = 0;
+  for (const Address &Each : domainGates())
+    if (Each < Peers->self() && Peers->linkUp(Each))
+      ++Before;
+  return Before < RelaysPerDomain;
 }
 
 void StoreSync::readConfig() {
@@ -129,16 +129,16 @@
     logWarning("frame_malformed", {{"peer", From.text()}});
 }
 
-// Tells all daemons that there is a newer configuration.
+// Tells the others of this failure domain that there is a newer configuration.
 void StoreSync::announceConfig() {
   wire::ConfigNotice Message;
   Message.revision = static_cast<int64_t>(State->configRevision());
-  for (const Address &Each : State->directory().gates())
-    if (Each != Peers->self())
-      Peers->sendMessage(Each, FrameType::ConfigNotice, Message);
+  for (const Address &Each : domainGates())
+    Peers->sendMessage(Each, FrameType::ConfigNotice, Message);
 }
 
 void StoreSync::stop() {
+  *Alive = false;
   ConfigWatch.reset();
   RolloutWatch.reset();
   EndpointWatch.reset();
@@ -215,26 +215,49 @@
                Told.status});
 }
 
-// Says whether it changed what is known of the server.
-bool StoreSync::takeEndpoint(const PlatformObject &Object) {
+void StoreSync::takeEndpoint(const PlatformObject &Object) {
   std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
   if (!Record || endpointKey(Record->Id) != Object.Key) {
     logWarning("endpoint_unreadable", {{"key", Object.Key}});
-    return false;
+    return;
   }
   StoredRecord &Known = Stored[Record->Id];
   if (Object.Version >= Known.Version)
     Known = {Object.Version, Record};
-  return State->merge(*Record);
+  State->merge(*Record);
 }
 
-// Tells daemons that the server's own did not know of.
+// Tells the others of this failure domain: the server's own daemon may not know
+// all of them, when many start at once.
 void StoreSync::announceEndpoint(const PlatformObject &Object) {
+  std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
+  if (!Record)
+    return;
+  if (Announcing.empty())
+    Timers->defer([this, Still = Alive] {
+      if (*Still)
+        flushAnnouncements();
+    });
+  Announcing.push_back(*Record);
+}
+
+void StoreSync::flushAnnouncements() {
   wire::EndpointAnnounce Message;
-  Message.endpoints.push_back(recordOf(*parseEndpoint(Object.Value)));
-  for (const Address &Each : State->directory().gates())
-    if (Each != Peers->self())
-      Peers->sendMessage(Each, FrameType::EndpointAnnounce, Message);
+  for (const MeshEndpoint &Each : Announcing)
+    Message.endpoints.push_back(recordOf(Each));
+  Announcing.clear();
+  for (const Address &Each : domainGates())
+    Peers->sendMessage(Each, FrameType::EndpointAnnounce, Message);
+}
+
+// Other daemons of this failure domain.
+std::set<Address> StoreSync::domainGates() const {
+  std::set<Address> Result;
+  for (const auto &[Id, Each] : State->directory().all())
+    if (Each.State != EndpointState::Gone &&
+        Each.FailureDomain == FailureDomain && Each.Gate != Peers->self())
+      Result.insert(Each.Gate);
+  return Result;
 }
 
 void StoreSync::endpointsListed(const PlatformListing &Listing) {
@@ -302,7 +325,7 @@
       Known == Stored.end() ? 0 : Known->second.Version,
       [this, Id, Sequence = Entry.Record.Sequence,
        State = Entry.Record.State](Result<uint64_t, PlatformError> Outcome) {
-        written(Id, Sequence, State, std::move(Outcome));
+        written(Id, Sequence, State, Outcome);
       });
 }
 
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -22,6 +22,8 @@
 #include "cyclamenwind/mesh/registry.h"
 #include "cyclamenwind/store/kind_watch.h"
 
+#include <set>
+
 namespace cyclamenwind {
 
 // Decodes what operators keep on the platform.
@@ -93,7 +95,9 @@
   void receiveRollout(const Address &From, std::string_view Payload);
   bool isStored(const MeshEndpoint &Record) const;
   void rolloutChanged(const PlatformChange &Change);
-  bool takeEndpoint(const PlatformObject &Object);
+  void takeEndpoint(const PlatformObject &Object);
+  void flushAnnouncements();
+  std::set<Address> domainGates() const;
   void announceEndpoint(const PlatformObject &Object);
   KindWatchOptions following(const std::string &Prefix, Duration Collect,
                              FollowMode OfOthers);
@@ -132,6 +136,9 @@
   std::map<std::string, PlatformObject> RolloutObjects;
   std::map<std::string, Publication> Publications;
   std::map<std::string, TimerHandle> Removals;
+  // Records to tell the others of, in the next round of the loop.
+  std::vector<MeshEndpoint> Announcing;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   PeerTransport *Peers = nullptr;
 };
 
--- a/cyclamenwind/operators/metrics.cpp
+++ b/cyclamenwind/operators/metrics.cpp
@@ -3,6 +3,13 @@
 #include <prometheus/text_serializer.h>
 
 namespace cyclamenwind {
+namespace {
+
+// Seconds; from a fast read to the longest deadlines.
+const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+} // namespace
 
 Metrics::Metrics()
     : Calls(prometheus::BuildCounter()
@@ -18,7 +25,29 @@
                         .Name("cyclamenwind_config_version")
                         .Help("Configuration version in force.")
                         .Register(Registry)
-                        .Add({})) {}
+                        .Add({})),
+      Requests(prometheus::BuildHistogram()
+                   .Name("cyclamenwind_request_duration_seconds")
+                   .Help("From a request to its answer, by how it ended.")
+                   .Register(Registry)),
+      GateWait(prometheus::BuildHistogram()
+                   .Name("cyclamenwind_gate_wait_seconds")
+                   .Help("From a request's arrival at the gate to its start.")
+                   .Register(Registry)
+                   .Add({}, LatencyBuckets)),
+      Repeats(prometheus::BuildCounter()
+                  .Name("cyclamenwind_repeats_total")
+                  .Help("Requests sent to another server, by cause.")
+                  .Register(Registry)),
+      PlatformCalls(prometheus::BuildCounter()
+                        .Name("cyclamenwind_platform_calls_total")
+                        .Help("Calls to the platform by kind and outcome.")
+                        .Register(Registry)) {}
+
+void Metrics::observeRequest(CallEnd End, Duration Taken) {
+  Requests.Add({{"end", std::string(nameOf(End))}}, LatencyBuckets)
+      .Observe(secondsOf(Taken));
+}
 
 void Metrics::countCall(const std::string &Route, CallEnd End,
                         CallReason Reason) {
--- a/cyclamenwind/operators/metrics.h
+++ b/cyclamenwind/operators/metrics.h
@@ -10,6 +10,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 namespace cyclamenwind {
@@ -28,6 +29,22 @@
   // A reply to a call that had already ended.
   void countLateReply() { LateReplies.Increment(); }
 
+  // A request of a caller was answered after Taken.
+  void observeRequest(CallEnd End, Duration Taken);
+
+  // A request waited at the gate for Waited before it ran.
+  void observeGateWait(Duration Waited) { GateWait.Observe(secondsOf(Waited)); }
+
+  // A request was sent to another server; Cause is the name of a GateReason.
+  void countRepeat(const std::string &Cause) {
+    Repeats.Add({{"cause", Cause}}).Increment();
+  }
+
+  // A call to the platform ended; Outcome is "ok" or the error's name.
+  void countPlatformCall(const std::string &Call, const std::string &Outcome) {
+    PlatformCalls.Add({{"call", Call}, {"outcome", Outcome}}).Increment();
+  }
+
   void setConfigVersion(uint64_t Version) {
     ConfigVersion.Set(static_cast<double>(Version));
   }
@@ -38,10 +55,18 @@
   prometheus::Registry &registry() { return Registry; }
 
 private:
+  static double secondsOf(Duration Span) {
+    return std::chrono::duration<double>(Span).count();
+  }
+
   prometheus::Registry Registry;
   prometheus::Family<prometheus::Counter> &Calls;
   prometheus::Counter &LateReplies;
   prometheus::Gauge &ConfigVersion;
+  prometheus::Family<prometheus::Histogram> &Requests;
+  prometheus::Histogram &GateWait;
+  prometheus::Family<prometheus::Counter> &Repeats;
+  prometheus::Family<prometheus::Counter> &PlatformCalls;
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/store/budget.cpp
+++ b/cyclamenwind/store/budget.cpp
@@ -28,15 +28,17 @@
       Bucket(Options.CallsPerSecond, Options.Burst) {}
 
 template <typename T>
-void BudgetedPlatformClient::submit(const std::string &Key,
+void BudgetedPlatformClient::submit(const char *Call, const std::string &Key,
                                     PlatformDone<T> Done,
                                     std::function<void(PlatformDone<T>)> Send) {
-  auto Finish = [this, Done,
+  auto Finish = [this, Call, Done,
                  Guard = this->Alive](Result<T, PlatformError> Outcome) {
     if (!*Guard)
       return;
     ended(!Outcome && (Outcome.error() == PlatformError::Overloaded ||
                        Outcome.error() == PlatformError::Unreachable));
+    if (Observer)
+      Observer(Call, Outcome ? "ok" : nameOf(Outcome.error()));
     Done(std::move(Outcome));
   };
   auto Refuse = [Done] { Done(PlatformError::BudgetExhausted); };
@@ -130,22 +132,22 @@
 
 void BudgetedPlatformClient::read(const std::string &Key,
                                   PlatformDone<PlatformObject> Done) {
-  submit<PlatformObject>(Key, std::move(Done), [this, Key](auto Finish) {
-    Inner.read(Key, std::move(Finish));
-  });
+  submit<PlatformObject>(
+      "read", Key, std::move(Done),
+      [this, Key](auto Finish) { Inner.read(Key, std::move(Finish)); });
 }
 
 void BudgetedPlatformClient::list(const std::string &Prefix,
                                   PlatformDone<PlatformListing> Done) {
-  submit<PlatformListing>(Prefix, std::move(Done), [this, Prefix](auto Finish) {
-    Inner.list(Prefix, std::move(Finish));
-  });
+  submit<PlatformListing>(
+      "list", Prefix, std::move(Done),
+      [this, Prefix](auto Finish) { Inner.list(Prefix, std::move(Finish)); });
 }
 
 void BudgetedPlatformClient::write(const std::string &Key,
                                    const std::string &Value, uint64_t IfVersion,
                                    PlatformDone<uint64_t> Done) {
-  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
+  submit<uint64_t>("write", Key, std::move(Done), [=, this](auto Finish) {
     Inner.write(Key, Value, IfVersion, std::move(Finish));
   });
 }
@@ -154,14 +156,15 @@
                                          const std::string &Status,
                                          uint64_t IfVersion,
                                          PlatformDone<uint64_t> Done) {
-  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
-    Inner.writeStatus(Key, Status, IfVersion, std::move(Finish));
-  });
+  submit<uint64_t>(
+      "write_status", Key, std::move(Done), [=, this](auto Finish) {
+        Inner.writeStatus(Key, Status, IfVersion, std::move(Finish));
+      });
 }
 
 void BudgetedPlatformClient::remove(const std::string &Key, uint64_t IfVersion,
                                     PlatformDone<uint64_t> Done) {
-  submit<uint64_t>(Key, std::move(Done), [=, this](auto Finish) {
+  submit<uint64_t>("remove", Key, std::move(Done), [=, this](auto Finish) {
     Inner.remove(Key, IfVersion, std::move(Finish));
   });
 }
@@ -169,24 +172,26 @@
 void BudgetedPlatformClient::watch(const std::string &Prefix, uint64_t Revision,
                                    Duration Wait,
                                    PlatformDone<WatchBatch> Done) {
-  submit<WatchBatch>(Prefix, std::move(Done), [=, this](auto Finish) {
+  submit<WatchBatch>("watch", Prefix, std::move(Done), [=, this](auto Finish) {
     Inner.watch(Prefix, Revision, Wait, std::move(Finish));
   });
 }
 
 void BudgetedPlatformClient::listStale(const std::string &Prefix,
                                        PlatformDone<PlatformListing> Done) {
-  submit<PlatformListing>(Prefix, std::move(Done), [this, Prefix](auto Finish) {
-    Inner.listStale(Prefix, std::move(Finish));
-  });
+  submit<PlatformListing>("list_stale", Prefix, std::move(Done),
+                          [this, Prefix](auto Finish) {
+                            Inner.listStale(Prefix, std::move(Finish));
+                          });
 }
 
 void BudgetedPlatformClient::watchStale(const std::string &Prefix,
                                         uint64_t Revision, Duration Wait,
                                         PlatformDone<WatchBatch> Done) {
-  submit<WatchBatch>(Prefix, std::move(Done), [=, this](auto Finish) {
-    Inner.watchStale(Prefix, Revision, Wait, std::move(Finish));
-  });
+  submit<WatchBatch>(
+      "watch_stale", Prefix, std::move(Done), [=, this](auto Finish) {
+        Inner.watchStale(Prefix, Revision, Wait, std::move(Finish));
+      });
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/store/budget.h
+++ b/cyclamenwind/store/budget.h
@@ -49,6 +49,10 @@
   void watchStale(const std::string &Prefix, uint64_t Revision, Duration Wait,
                   PlatformDone<WatchBatch> Done) override;
 
+  // Told of each call that was sent, when it ends; Outcome is "ok" or the
+  // error's name.
+  std::function<void(std::string_view Call, std::string_view Outcome)> Observer;
+
   // Calls sent since the start.
   uint64_t sent() const { return Sent; }
 
@@ -60,7 +64,7 @@
   };
 
   template <typename T>
-  void submit(const std::string &Key, PlatformDone<T> Done,
+  void submit(const char *Call, const std::string &Key, PlatformDone<T> Done,
               std::function<void(PlatformDone<T>)> Send);
   void ended(bool Failed);
   void pump();
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration RetryBase = 150ms;
+// Daemons that start together do not list together.
+constexpr double ListSpread = 0.2;
 // Records of servers have to be back about two seconds after the platform
 // returns.
 constexpr Duration RetryLimit = 800ms;
@@ -52,7 +54,9 @@
     wait(Mode == FollowMode::WatchStale);
     return;
   }
-  Next = Timers.after(Options.ListPeriod, [this] {
+  NextListPeriod = std::clamp(2 * NextListPeriod, Options.FirstListPeriod,
+                              Options.ListPeriod);
+  Next = Timers.after(Dice.jittered(NextListPeriod, ListSpread), [this] {
     if (Options.Mode() == FollowMode::ListStale)
       list(/*Stale=*/true);
     else
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -27,7 +27,9 @@
   Duration Wait = 29s;
   // Pause after changes came, before the next wait.
   Duration Collect = 200ms;
-  // Between listings in FollowMode::ListStale.
+  // Between listings in FollowMode::ListStale; doubled from the first to the
+  // second, since most changes come while a fleet starts.
+  Duration FirstListPeriod = 1500ms;
   Duration ListPeriod = 15s;
   // Asked before each wait. Empty: always Watch.
   std::function<FollowMode()> Mode = {};
@@ -86,6 +88,7 @@
   bool Suspended = false; // Waits for resume().
   bool Lost = false; // The owner was told that the platform is unreachable.
   int Failures = 0;
+  Duration NextListPeriod{};
   TimerHandle Next;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/cyclamenwind/store/service.h
+++ b/cyclamenwind/store/service.h
@@ -20,6 +20,12 @@
   std::string_view name() const override { return "platform"; }
   void start(Kernel &) override {}
 
+  // See BudgetedPlatformClient::Observer.
+  void
+  observe(std::function<void(std::string_view, std::string_view)> Observer) {
+    Budget.Observer = std::move(Observer);
+  }
+
   void read(const std::string &Key,
             PlatformDone<PlatformObject> Done) override {
     Budget.read(Key, std::move(Done));
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -159,22 +159,22 @@
     Daemon &Added = Daemons.emplace_back();
     Added.Dice = std::make_unique<Random>(Daemons.size());
     Added.Services = std::make_unique<Kernel>(Time, Time, *Added.Dice);
-    auto keep = [&Added](auto Owned) {
+    auto Keep = [&Added](auto Owned) {
       auto *Raw = Owned.get();
       Added.Services->add(std::move(Owned));
       return Raw;
     };
     Added.Peers =
-        keep(std::make_unique<FakePeers>(Network, Address{Host, 7000}));
-    keep(std::make_unique<Metrics>());
-    Added.State = keep(std::make_unique<MeshState>());
-    Added.TheGate = keep(
+        Keep(std::make_unique<FakePeers>(Network, Address{Host, 7000}));
+    Keep(std::make_unique<Metrics>());
+    Added.State = Keep(std::make_unique<MeshState>());
+    Added.TheGate = Keep(
         std::make_unique<Gate>(std::make_unique<FakeSender>(Servers), Format));
-    Added.Forward = keep(std::make_unique<Forwarder>(
+    Added.Forward = Keep(std::make_unique<Forwarder>(
         ForwarderOptions{"a", "quote", {0.2, 56, 10s}}, Format));
-    keep(std::make_unique<FakePublisher>(StoreAnswers));
+    Keep(std::make_unique<FakePublisher>(StoreAnswers));
     Added.Reports =
-        keep(std::make_unique<Registry>(RegistryOptions{{Host, 7000}, 1500ms}));
+        Keep(std::make_unique<Registry>(RegistryOptions{{Host, 7000}, 1500ms}));
     Added.Services->start();
     Added.State->setListed();
     Added.State->apply(config(), "");
--- a/tests/mesh_rollout_test.cpp
+++ b/tests/mesh_rollout_test.cpp
@@ -125,25 +125,25 @@
   MeshEndpoint Old = server("old", "v1", 100);
   MeshEndpoint New = server("new", "v2", 200);
   std::vector<const MeshEndpoint *> Ready = {&Old, &New};
-  auto only = [&] {
+  auto Only = [&] {
     std::vector<const MeshEndpoint *> Chosen =
         Book.eligible("quote", Ready, Dice);
     return Chosen.size() == 1 ? Chosen[0]->Id : "several";
   };
-  CHECK(only() == "old"); // Started, but its order is not known here.
+  CHECK(Only() == "old"); // Started, but its order is not known here.
   Book.update(Order, std::nullopt, 1, Start);
-  CHECK(only() == "old");
+  CHECK(Only() == "old");
   CHECK_FALSE(Book.allowed("quote", "v2"));
   Book.update(Order, RolloutStatus{RolloutState::Running, "v2", 1, 9s}, 2,
               Start);
-  CHECK(only() == "new");
+  CHECK(Only() == "new");
   Book.update(Order, RolloutStatus{RolloutState::Completed, "v2", 1, 13s}, 3,
               Start);
-  CHECK(only() == "new");
+  CHECK(Only() == "new");
   // An earlier status that arrives late changes nothing.
   Book.update(Order, RolloutStatus{RolloutState::Running, "v2", 0.1, 1s}, 2,
               Start);
-  CHECK(only() == "new");
+  CHECK(Only() == "new");
 }
 
 TEST_CASE("a version that this daemon saw to be bad gets nothing more") {
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -130,6 +130,24 @@
   CHECK(Running.Platform.StaleCalls > Running.Platform.WatchCalls);
 }
 
+TEST_CASE("many hosts start at once: all know all servers within two seconds") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 9; ++I)
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+  Running.Time.advance(50ms);
+  for (int I = 1; I <= 9; ++I) {
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons[size_t(I - 1)]->State->merge(Own);
+    Daemons[size_t(I - 1)]->Store->publish(Own, [](bool) {});
+    Running.Time.advance(20ms);
+  }
+  Running.Time.advance(2s);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->directory().ready("quote").size() == 9);
+}
+
 TEST_CASE("a rollout that only relays see reaches all daemons") {
   Bench Running;
   std::vector<std::unique_ptr<Daemon>> Daemons;
