--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -13,14 +13,14 @@
 // Gate refusals after which a request is refused as a whole.
 constexpr int MaxRefusals = 3;
 // How often attempts are checked for silent gates.
-constexpr Duration SilencePeriod = 50ms;
+constexpr Duration SilencePeriod = 100ms;
 // A gate that has not been heard for this long since an attempt was sent is
 // asked for a sign of life.
-constexpr Duration ProbeAfter = 100ms;
+constexpr Duration ProbeAfter = 200ms;
 // A gate that has not been heard for this long is taken to be unreachable. A
 // host's processor share may be used up for most of a tenth of a second, on
 // either side.
-constexpr Duration SilentAfter = 320ms;
+constexpr Duration SilentAfter = 500ms;
 // A stream that does not stand after this long is given up: what was to be sent
 // on it has not been sent.
 constexpr Duration ConnectPatience = 250ms;
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -8,9 +8,11 @@
 namespace {
 
 constexpr Duration TickPeriod = 1s;
-// A late watch of the platform shows a newer configuration in this time as a
-// rule; then it is read, or asked of a peer while the platform is away.
-constexpr Duration BehindDelay = 400ms;
+// The platform's own word on a newer configuration is waited for this long: it
+// comes within the pause between two waits for changes.
+constexpr Duration BehindDelay = 1300ms;
+// While the platform is away.
+constexpr Duration BehindDelayAlone = 200ms;
 // Between attempts to reach a daemon; doubled up to the limit.
 constexpr Duration ContactBase = 1s;
 constexpr int MaxContactDoublings = 3;
@@ -111,7 +113,8 @@
   if (BehindTimer)
     return;
   uint64_t Before = State->configRevision();
-  BehindTimer = Timers->after(BehindDelay, [this, Peer, Before] {
+  Duration Delay = Store->configReachable() ? BehindDelay : BehindDelayAlone;
+  BehindTimer = Timers->after(Delay, [this, Peer, Before] {
     TimerHandle Fired = std::move(BehindTimer);
     if (State->configRevision() != Before)
       return;
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -32,16 +32,12 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveRollout(From, Payload);
                 });
-  Peers->handle(FrameType::ConfigNotice,
-                [this](const Address &From, std::string_view Payload) {
-                  receiveNotice(From, Payload);
-                });
   auto Ignore = [](bool) {};
   // While the platform is away only one watch asks for it.
   auto MayRetry = [this] { return !ConfigWatch->lost(); };
   ConfigWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
-      following(Codec.configPrefix(), ConfigCollect, FollowMode::WatchStale),
+      following(Codec.configPrefix(), ConfigCollect, FollowMode::Watch),
       KindWatch::Handlers{[this](const PlatformListing &Listing) {
                             for (const PlatformObject &Each : Listing.Objects)
                               takeConfig(Each);
@@ -92,11 +88,9 @@
   KindWatchOptions Options;
   Options.Prefix = Prefix;
   Options.Collect = Collect;
-  bool Fresh = OfOthers == FollowMode::WatchStale;
-  Options.Mode = [this, OfOthers, Fresh] {
-    if (!isRelay())
-      return OfOthers;
-    return Fresh ? FollowMode::Watch : FollowMode::WatchStale;
+  Options.Mode = [this, OfOthers] {
+    bool Waits = OfOthers == FollowMode::ListStale && isRelay();
+    return Waits ? FollowMode::WatchStale : OfOthers;
   };
   return Options;
 }
@@ -120,23 +114,6 @@
       });
 }
 
-void StoreSync::receiveNotice(const Address &From, std::string_view Payload) {
-  Result<wire::ConfigNotice, FrameError> Message =
-      decodeMessage<wire::ConfigNotice>(Payload);
-  if (Message)
-    State->heardRevision(From, static_cast<uint64_t>(Message.value().revision));
-  else
-    logWarning("frame_malformed", {{"peer", From.text()}});
-}
-
-// Tells the others of this failure domain that there is a newer configuration.
-void StoreSync::announceConfig() {
-  wire::ConfigNotice Message;
-  Message.revision = static_cast<int64_t>(State->configRevision());
-  for (const Address &Each : domainGates())
-    Peers->sendMessage(Each, FrameType::ConfigNotice, Message);
-}
-
 void StoreSync::stop() {
   *Alive = false;
   ConfigWatch.reset();
@@ -156,8 +133,7 @@
              {{"key", Object.Key}, {"revision", Object.Version}});
     return;
   }
-  if (State->apply(std::move(*Config), Object.Value) && isRelay())
-    announceConfig();
+  State->apply(std::move(*Config), Object.Value);
 }
 
 void StoreSync::takeRollout(const PlatformObject &Object) {
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,11 +5,10 @@
 // the status of rollouts. Every write is conditional on the version that was
 // read. A write without an answer is resolved by reading the object back.
 //
-// A few daemons of each failure domain, its relays, wait for changes and tell
-// all others; so do the daemons that make them. The others follow the
-// configuration by watches that may be seconds late, which cost a tenth, and
-// read it when they hear of a newer one; records and rollouts they list from
-// time to time.
+// Every daemon waits for a new configuration. A few daemons of each failure
+// domain, its relays, wait for changes of records and rollouts, by watches that
+// may be seconds late and cost a tenth, and tell the others, as do the daemons
+// that make the changes; the others list them from time to time.
 //
 // Nothing on the platform expires. The record of a server that left is removed
 // by the daemon that published it; that of a host that died without a word by
@@ -102,8 +101,6 @@
   KindWatchOptions following(const std::string &Prefix, Duration Collect,
                              FollowMode OfOthers);
   bool isRelay() const;
-  void announceConfig();
-  void receiveNotice(const Address &From, std::string_view Payload);
   void endpointsListed(const PlatformListing &Listing);
   void endpointRemoved(const std::string &Id);
   void write(const std::string &Id);
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -57,7 +57,6 @@
   StateReply = 55,
   VersionEvidence = 56,
   RolloutAnnounce = 57,
-  ConfigNotice = 58,
 };
 
 // A body of the largest size with its headers.
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -56,8 +56,6 @@
 
 class RolloutAnnounce;
 
-class ConfigNotice;
-
 typedef struct _ForwardRequest__isset {
   _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false) {}
   bool id :1;
@@ -864,51 +862,6 @@
 
 std::ostream& operator<<(std::ostream& out, const RolloutAnnounce& obj);
 
-typedef struct _ConfigNotice__isset {
-  _ConfigNotice__isset() : revision(false) {}
-  bool revision :1;
-} _ConfigNotice__isset;
-
-class ConfigNotice : public virtual ::apache::thrift::TBase {
- public:
-
-  ConfigNotice(const ConfigNotice&) noexcept;
-  ConfigNotice(ConfigNotice&&) noexcept;
-  ConfigNotice& operator=(const ConfigNotice&) noexcept;
-  ConfigNotice& operator=(ConfigNotice&&) noexcept;
-  ConfigNotice() noexcept
-               : revision(0) {
-  }
-
-  virtual ~ConfigNotice() noexcept;
-  int64_t revision;
-
-  _ConfigNotice__isset __isset;
-
-  void __set_revision(const int64_t val);
-
-  bool operator == (const ConfigNotice & rhs) const
-  {
-    if (!(revision == rhs.revision))
-      return false;
-    return true;
-  }
-  bool operator != (const ConfigNotice &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ConfigNotice & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ConfigNotice &a, ConfigNotice &b);
-
-std::ostream& operator<<(std::ostream& out, const ConfigNotice& obj);
-
 }} // namespace
 
 #endif
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -121,8 +121,3 @@
   3: binary order
   4: binary status
 }
-
-// The sender has the configuration of this revision.
-struct ConfigNotice {
-  1: i64 revision
-}
