--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -158,7 +158,7 @@
   const MeshEndpoint *Target = chooseServer(Present, Now);
   if (Target == nullptr) {
     if (Present.Attempts.empty())
-      endWithoutAnswer(Id);
+      endUnserved(Id);
     return;
   }
   if (Repeat) {
@@ -327,6 +327,12 @@
     dispatch(Id, /*Repeat=*/true);
     return;
   }
+  endUnserved(Id);
+}
+
+// A server's own failure is passed on as it is if nothing better came.
+void Forwarder::endUnserved(uint64_t Id) {
+  Call &Present = Calls.at(Id);
   if (Present.Failure)
     answer(Id, wire::ForwardReply(*Present.Failure));
   else
@@ -418,10 +424,7 @@
   if (!Present.Attempts.empty())
     Present.MayHaveRun = true;
   Present.LastReason = GateReason::TimedOut;
-  if (Present.Failure)
-    answer(Id, wire::ForwardReply(*Present.Failure));
-  else
-    endWithoutAnswer(Id);
+  endUnserved(Id);
 }
 
 void Forwarder::callerLeft(uint64_t Id) {
--- a/cyclamenwind/mesh/forwarder.h
+++ b/cyclamenwind/mesh/forwarder.h
@@ -101,6 +101,7 @@
   void callerLeft(uint64_t Id);
   void cancelAttempts(Call &Ended);
   void answer(uint64_t Id, const wire::ForwardReply &Reply);
+  void endUnserved(uint64_t Id);
   void endWithoutAnswer(uint64_t Id);
   void finish(uint64_t Id, HttpResponse Response, std::string_view Outcome);
   Duration retryDelay(const Call &Refused, TimePoint Now);
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -343,6 +343,19 @@
                    "Cyclamenwind-Response-Signature") != nullptr);
 }
 
+TEST_CASE("a server's failure is passed on though a repeat found no server") {
+  Mesh Running(2);
+  for (const char *Host : {"10.0.0.1", "10.0.0.2"})
+    Running.Servers.ByHost[Host].Status = 500;
+  auto Received = Running.request("/read/1");
+  Running.Time.advance(5ms);
+  for (const char *Host : {"10.0.0.1", "10.0.0.2"})
+    Running.Servers.ByHost[Host].RefuseConnections = true;
+  Running.Time.advance(900ms);
+  REQUIRE(Received->Answer);
+  CHECK(Received->Answer->Status == 500);
+}
+
 TEST_CASE("nothing reaches a server after its leaving was acknowledged") {
   Mesh Running(2);
   Running.Servers.ByHost["10.0.0.1"].Work = 300ms;
