A server that left without being known is not taken back by a delayed report

Change: such leaves are remembered for as long as a report may be late. Test: a new process that acknowledged the leaving of a server it does not know.

--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -14,6 +14,8 @@
 // A new process may have acknowledged in an earlier life that a server leaves:
 // it waits this long for the records of that.
 constexpr Duration RecordsWait = 1s;
+// A report may come this late.
+constexpr Duration ReportDelayLimit = 10s;
 // An acknowledgement that takes a second counts as none.
 constexpr Duration AckLimit = 600ms;
 
@@ -68,7 +70,10 @@
   Record.State =
       Report.Draining ? EndpointState::Draining : EndpointState::Ready;
   Record.WarmAt = Report.Born + milliseconds(Report.WarmupLeft);
-  if (!isLater(Record)) {
+  auto Left = LeftUnknown.find(Report.Id);
+  bool HasLeft = Left != LeftUnknown.end() &&
+                 Time->now() - Left->second < ReportDelayLimit;
+  if (HasLeft || !isLater(Record)) {
     logInfo("report_ignored", {{"server", Report.Id},
                                {"born", Report.Born},
                                {"sequence", Report.Sequence}});
@@ -100,6 +105,7 @@
   const MeshEndpoint *Listed = State->directory().find(Id);
   if (Found == Servers.end() && Listed == nullptr) {
     logInfo("leave_of_unknown_server", {{"server", Id}});
+    LeftUnknown[Id] = Time->now();
     Acknowledge();
     return;
   }
@@ -186,6 +192,9 @@
   bool WasPaused = Now - LastCheck > 2 * SilenceCheckPeriod;
   LastCheck = Now;
   retryHeldReports();
+  std::erase_if(LeftUnknown, [Now](const auto &Entry) {
+    return Now - Entry.second >= ReportDelayLimit;
+  });
   if (WasPaused)
     return;
   for (auto &[Id, Each] : Servers) {
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -89,6 +89,9 @@
   std::map<std::string, Known> Servers;
   // Reports that came before the platform's records were read.
   std::map<std::string, ServerReport> Held;
+  // Servers that left without being known here, and when. A delayed report of
+  // theirs does not bring them back.
+  std::map<std::string, TimePoint> LeftUnknown;
   TimePoint Started;
   TimePoint LastCheck;
   std::map<uint64_t, TimerHandle> AckTimers;
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -390,6 +390,18 @@
   CHECK(Running.Daemons[1].State->directory().ready("quote").size() == 2);
 }
 
+TEST_CASE("a new process that acknowledged the leaving of a server it does not "
+          "know takes no delayed report of it") {
+  Mesh Running(1);
+  ServerReport Late = Running.reportOf(1, 14);
+  bool Acked = false;
+  Running.Daemons[0].Reports->leave(Late.Id, 0, [&Acked] { Acked = true; });
+  CHECK(Acked);
+  Running.Time.advance(2300ms);
+  Running.Daemons[0].Reports->report(Late, [] {});
+  CHECK(Running.Daemons[0].State->directory().find(Late.Id) == nullptr);
+}
+
 TEST_CASE("a leaving server is acknowledged in time though the platform does "
           "not answer") {
   Mesh Running(1);
