--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -106,8 +106,7 @@
     refuse(Each, GateReason::NoServer, /*Arrived=*/false);
 }
 
-// A request may name an incarnation that has been replaced: nothing was sent to
-// it yet, so the present one of the same service and version may run it.
+// Null if the server that Message names is not beside this daemon.
 Gate::Server *Gate::serverFor(const wire::ForwardRequest &Message) {
   auto Named = Beside.find(Message.instanceId);
   if (Named != Beside.end() &&
