Waits that a silent platform swallowed are asked anew

A wait for changes that was under way when the store fell silent was never answered, though new calls were once it was back. It was given up 31 s after it began. Until then a daemon learned of configurations only from peers that were ahead, 1.3 s later and by a read that could take two more seconds.

Change: a call without an answer makes the daemon ask anew for all it waits for, by a call that is answered at once; so does a read that is newer than what the wait brought. Late waits of relays last 4 s, relays tell their failure domain which revision they have, and a daemon that is behind reads after 0.8 s and asks the peer if that brings nothing. After a failure listings are read at once.

Tests: mesh_store_sync_test, "a silent outage swallows waiting calls" and "a wait on a connection that fell silent".

--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -32,7 +32,8 @@
 // when many records change.
 constexpr double CallsPerSecond = 20;
 constexpr int CallBurst = 40;
-constexpr Duration PlatformTimeout = 2s;
+// An answer takes 4 ms, and 200 ms while the platform is slow.
+constexpr Duration PlatformTimeout = 1s;
 
 uint64_t freshSeed() {
   std::random_device Source;
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -9,9 +9,10 @@
 
 constexpr Duration TickPeriod = 1s;
 // The platform's own word on a newer configuration is waited for this long: it
-// comes within the pause between two waits for changes.
-constexpr Duration BehindDelay = 1300ms;
-// While the platform is away.
+// comes within the pause between two waits for changes (0.7 s). Configuration
+// has to be in force two seconds after it was accepted.
+constexpr Duration BehindDelay = 800ms;
+// While the platform is away, and after a read that brought nothing newer.
 constexpr Duration BehindDelayAlone = 200ms;
 // Between attempts to reach a daemon; doubled up to the limit.
 constexpr Duration ContactBase = 1s;
@@ -87,6 +88,8 @@
   }
   wire::StateReply &Reply = Message.value();
   auto Revision = static_cast<uint64_t>(Reply.configRevision);
+  if (Reply.config.empty())
+    State->heardRevision(From, Revision);
   if (!Reply.config.empty() && Revision > State->configRevision()) {
     if (std::optional<MeshConfig> Config =
             Codec.config(Reply.config, Revision)) {
@@ -118,10 +121,16 @@
     TimerHandle Fired = std::move(BehindTimer);
     if (State->configRevision() != Before)
       return;
-    if (Store->configReachable())
-      Store->readConfig();
-    else
+    if (!Store->configReachable()) {
       pull(Peer);
+      return;
+    }
+    Store->readConfig();
+    BehindTimer = Timers->after(BehindDelayAlone, [this, Peer, Before] {
+      TimerHandle Done = std::move(BehindTimer);
+      if (State->configRevision() == Before)
+        pull(Peer);
+    });
   });
 }
 
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -32,7 +32,10 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveRollout(From, Payload);
                 });
-  auto Ignore = [](bool) {};
+  auto LostOne = [this](bool Reachable) {
+    if (!Reachable)
+      doubtWaits();
+  };
   // While the platform is away only one watch asks for it.
   auto MayRetry = [this] { return !ConfigWatch->lost(); };
   ConfigWatch = std::make_unique<KindWatch>(
@@ -47,8 +50,10 @@
                               takeConfig(Change.Object);
                           },
                           [this](bool Reachable) {
-                            if (!Reachable)
+                            if (!Reachable) {
+                              doubtWaits();
                               return;
+                            }
                             RolloutWatch->resume();
                             EndpointWatch->resume();
                           }});
@@ -61,7 +66,7 @@
               takeRollout(Each);
           },
           [this](const PlatformChange &Change) { rolloutChanged(Change); },
-          Ignore, MayRetry});
+          LostOne, MayRetry});
   EndpointWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
       following(Codec.endpointPrefix(), EndpointCollect, FollowMode::ListStale),
@@ -76,7 +81,7 @@
               announceEndpoint(Change.Object);
             }
           },
-          Ignore, MayRetry});
+          LostOne, MayRetry});
   ConfigWatch->start();
   RolloutWatch->start();
   EndpointWatch->start();
@@ -104,13 +109,32 @@
   return Before < RelaysPerDomain;
 }
 
+// A call without an answer: waits that were under way at the same time have
+// probably lost theirs too.
+void StoreSync::doubtWaits() {
+  for (KindWatch *Each :
+       {ConfigWatch.get(), RolloutWatch.get(), EndpointWatch.get()})
+    if (Each != nullptr)
+      Each->doubt();
+}
+
+void StoreSync::noteError(PlatformError Error) {
+  if (Error == PlatformError::NoAnswer)
+    doubtWaits();
+}
+
 void StoreSync::readConfig() {
   Platform.read(
       Codec.configKey(), [this](Result<PlatformObject, PlatformError> Read) {
-        if (Read)
-          takeConfig(Read.value());
-        else
+        if (!Read) {
           logWarning("config_read_failed", {{"error", nameOf(Read.error())}});
+          noteError(Read.error());
+          return;
+        }
+        takeConfig(Read.value());
+        // The wait for changes should have brought it.
+        if (Read.value().Version > ConfigWatch->revision())
+          ConfigWatch->doubt();
       });
 }
 
@@ -134,6 +158,17 @@
     return;
   }
   State->apply(std::move(*Config), Object.Value);
+  if (isRelay())
+    announceRevision();
+}
+
+// Those whose own wait for changes was lost notice it by this.
+void StoreSync::announceRevision() {
+  wire::StateReply Message;
+  Message.configRevision = static_cast<int64_t>(State->configRevision());
+  for (const Address &Each : domainGates())
+    if (Peers->linkUp(Each))
+      Peers->sendMessage(Each, FrameType::StateReply, Message);
 }
 
 void StoreSync::takeRollout(const PlatformObject &Object) {
@@ -316,6 +351,7 @@
   if (!Outcome) {
     logWarning("endpoint_write_failed",
                {{"server", Id}, {"error", nameOf(Outcome.error())}});
+    noteError(Outcome.error());
     if (Outcome.error() == PlatformError::Conflict ||
         Outcome.error() == PlatformError::NotFound ||
         Outcome.error() == PlatformError::NoAnswer)
@@ -437,6 +473,7 @@
         }
         logWarning("rollout_write_failed",
                    {{"service", Service}, {"error", nameOf(Outcome.error())}});
+        noteError(Outcome.error());
       });
 }
 
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,10 +5,11 @@
 // the status of rollouts. Every write is conditional on the version that was
 // read. A write without an answer is resolved by reading the object back.
 //
-// Every daemon waits for a new configuration. A few daemons of each failure
-// domain, its relays, wait for changes of records and rollouts, by watches that
-// may be seconds late and cost a tenth, and tell the others, as do the daemons
-// that make the changes; the others list them from time to time.
+// Every daemon waits for a new configuration; one whose wait was lost notices
+// by a call without an answer, or by peers that are ahead. A few daemons of
+// each failure domain, its relays, wait for changes of records and rollouts, by
+// watches that may be seconds late and cost a tenth, and tell the others, as do
+// the daemons that make the changes; the others list them from time to time.
 //
 // Nothing on the platform expires. The record of a server that left is removed
 // by the daemon that published it; that of a host that died without a word by
@@ -88,7 +89,10 @@
     TimerHandle Retry;
   };
 
+  void doubtWaits();
+  void noteError(PlatformError Error);
   void takeConfig(const PlatformObject &Object);
+  void announceRevision();
   void takeRollout(const PlatformObject &Object);
   void announceRollout(const PlatformObject &Object);
   void receiveRollout(const Address &From, std::string_view Payload);
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -12,15 +12,17 @@
 // Records of servers have to be back about two seconds after the platform
 // returns.
 constexpr Duration RetryLimit = 800ms;
+// A wait that is over before anything is likely to change.
+constexpr Duration ProbeWait = 5ms;
 
 } // namespace
 
 template <typename T>
 PlatformDone<T>
 KindWatch::guarded(std::function<void(Result<T, PlatformError>)> Done) {
-  return [Done = std::move(Done),
-          Guard = this->Alive](Result<T, PlatformError> Outcome) {
-    if (*Guard)
+  return [Done = std::move(Done), Guard = this->Alive, this,
+          Begun = this->Round](Result<T, PlatformError> Outcome) {
+    if (*Guard && Begun == Round)
       Done(std::move(Outcome));
   };
 }
@@ -65,18 +67,22 @@
 }
 
 void KindWatch::wait(bool Stale) {
+  Waiting = !Probing;
+  Duration Longest = Stale ? Options.StaleWait : Options.Wait;
+  if (Probing)
+    Longest = ProbeWait;
   PlatformDone<WatchBatch> Done =
       guarded<WatchBatch>([this](Result<WatchBatch, PlatformError> Outcome) {
         changed(std::move(Outcome));
       });
   if (Stale)
-    Platform.watchStale(Options.Prefix, Revision, Options.Wait,
-                        std::move(Done));
+    Platform.watchStale(Options.Prefix, Revision, Longest, std::move(Done));
   else
-    Platform.watch(Options.Prefix, Revision, Options.Wait, std::move(Done));
+    Platform.watch(Options.Prefix, Revision, Longest, std::move(Done));
 }
 
 void KindWatch::changed(Result<WatchBatch, PlatformError> Outcome) {
+  Waiting = false;
   if (!Outcome) {
     failed(Outcome.error());
     return;
@@ -98,6 +104,7 @@
     return;
   }
   ++Failures;
+  Probing = true;
   if (!Lost) {
     Lost = true;
     logWarning("platform_lost",
@@ -113,10 +120,25 @@
 }
 
 void KindWatch::proceed() {
-  if (Known)
+  bool Lists = Options.Mode && Options.Mode() == FollowMode::ListStale;
+  if (!Known)
+    list(/*Stale=*/false);
+  else if (Lists)
+    list(/*Stale=*/true);
+  else
     follow();
+}
+
+void KindWatch::doubt() {
+  if (!Waiting)
+    return;
+  Waiting = false;
+  Probing = true;
+  ++Round;
+  if (Notify.MayRetry && !Notify.MayRetry())
+    Suspended = true;
   else
-    list(/*Stale=*/false);
+    proceed();
 }
 
 void KindWatch::resume() {
@@ -128,6 +150,7 @@
 
 void KindWatch::succeeded() {
   Failures = 0;
+  Probing = false;
   if (!Lost)
     return;
   Lost = false;
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -4,6 +4,11 @@
 // failure it waits with backoff and continues; after a gap in the history it
 // reads the listing anew. Changes are collected for a short time between two
 // waits, so that a burst costs few calls.
+//
+// A wait may be lost without a sign: nothing tells a platform that has nothing
+// to say from a connection that died. The owner therefore says when there is
+// reason to doubt it, and the platform is asked anew by a call that it answers
+// at once.
 
 #ifndef CYCLAMENWIND_STORE_KIND_WATCH_H
 #define CYCLAMENWIND_STORE_KIND_WATCH_H
@@ -25,6 +30,9 @@
   std::string Prefix;
   // How long a wait for changes lasts at most.
   Duration Wait = 29s;
+  // The same in FollowMode::WatchStale. These waits are cheap, and their ends
+  // are what shows an outage soon.
+  Duration StaleWait = 4s;
   // Pause after changes came, before the next wait.
   Duration Collect = 200ms;
   // Between listings in FollowMode::ListStale; doubled from the first to the
@@ -61,6 +69,12 @@
   // Tries again now if a failure was left to resume().
   void resume();
 
+  // A wait that is under way may have been lost: asks anew.
+  void doubt();
+
+  // The newest revision that this has kept up to.
+  uint64_t revision() const { return Revision; }
+
   // Whether the platform did not answer the last time.
   bool lost() const { return Lost; }
 
@@ -75,6 +89,7 @@
   void failed(PlatformError Error);
   void succeeded();
   void proceed();
+  // Done, unless the call that it belongs to has been given up by then.
   template <typename T>
   PlatformDone<T> guarded(std::function<void(Result<T, PlatformError>)> Done);
 
@@ -86,7 +101,10 @@
   uint64_t Revision = 0;
   bool Known = false;     // A listing was read and its history is not lost.
   bool Suspended = false; // Waits for resume().
-  bool Lost = false; // The owner was told that the platform is unreachable.
+  bool Lost = false;    // The owner was told that the platform is unreachable.
+  bool Waiting = false; // For changes, in a call that the platform holds.
+  bool Probing = false; // The next call is to be answered at once.
+  uint64_t Round = 0;   // Of calls; answers to earlier ones do not count.
   int Failures = 0;
   Duration NextListPeriod{};
   TimerHandle Next;
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -13,11 +13,17 @@
   });
 }
 
+void FakePlatform::setSilent(bool Value) {
+  Silent = Value;
+  for (Watch &Each : Watches)
+    Each.Lost = true;
+}
+
 void FakePlatform::wake() {
   for (auto Each = Watches.begin(); Each != Watches.end();) {
     Result<WatchBatch, PlatformError> Batch =
         Store.changes(Each->Prefix, Each->After);
-    bool Hidden = Each->Stale && !StaleShowsChanges;
+    bool Hidden = Each->Lost || (Each->Stale && !StaleShowsChanges);
     if (Hidden || (Batch && Batch.value().Changes.empty())) {
       ++Each;
       continue;
@@ -35,6 +41,11 @@
   if (Found == Watches.end())
     return;
   PlatformDone<WatchBatch> Done = Found->Done;
+  if (Found->Lost) {
+    Watches.erase(Found);
+    Done(PlatformError::NoAnswer);
+    return;
+  }
   WatchBatch Empty;
   Empty.Revision = Store.revision();
   Watches.erase(Found);
@@ -52,6 +63,18 @@
     });
     return;
   }
+  if (Shared.Silent) {
+    uint64_t Id = Shared.NextId++;
+    Shared.Pending[Id] = Shared.Timers.after(
+        Shared.CallTimeout,
+        [Platform = &Shared, Id, Done = std::move(Done), Alive = this->Alive] {
+          TimerHandle Fired = std::move(Platform->Pending[Id]);
+          Platform->Pending.erase(Id);
+          if (*Alive)
+            Done(PlatformError::NoAnswer);
+        });
+    return;
+  }
   ++(IsWrite ? Shared.Writes : Shared.Reads);
   // What was sent takes effect even if the client is gone by then.
   Shared.deliver([Platform = &Shared, Done = std::move(Done),
@@ -156,9 +179,11 @@
     return;
   }
   uint64_t Id = Shared.NextId++;
-  Shared.Watches.push_back({Id, Prefix, Revision, Guarded, Stale});
+  Shared.Watches.push_back(
+      {Id, Prefix, Revision, Guarded, Stale, Shared.Silent});
   Shared.Pending[Id] = Shared.Timers.after(
-      Wait, [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
+      Shared.Silent ? Wait + Shared.CallTimeout : Wait,
+      [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
   Shared.wake();
 }
 
--- a/testing/fake_platform.h
+++ b/testing/fake_platform.h
@@ -19,6 +19,8 @@
   ObjectStore Store;
   bool Outage = false;
   Duration Delay = 2ms;
+  // After this long a client gives up a call that is not answered.
+  Duration CallTimeout = 1s;
   // Answers take up to this factor of Delay, so that they cross.
   double Spread = 0;
   int LoseAnswers = 0; // The next writes take effect without an answer.
@@ -29,6 +31,10 @@
   // Whether late watches are answered when something changes.
   bool StaleShowsChanges = true;
 
+  // While silent the platform takes calls and answers none of them, nor any
+  // that waited when it fell silent.
+  void setSilent(bool Value);
+
   // Calls that wait for a watch now.
   size_t waiting() const { return Watches.size(); }
 
@@ -44,6 +50,7 @@
     uint64_t After;
     PlatformDone<WatchBatch> Done;
     bool Stale = false;
+    bool Lost = false; // Its answer will not come.
   };
 
   void expireWatch(uint64_t Id);
@@ -54,6 +61,7 @@
   std::list<Watch> Watches;
   std::map<uint64_t, TimerHandle> Pending;
   uint64_t NextId = 0;
+  bool Silent = false;
 };
 
 // One daemon's client of the shared platform.
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -191,6 +191,59 @@
   CHECK(One->State->routes()->config().Version == 2);
 }
 
+TEST_CASE("a silent outage swallows waiting calls: changes after it are in "
+          "force in time") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 9; ++I) {
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons.back()->Store->publish(Own, [](bool) {});
+    Running.Time.advance(100ms);
+  }
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(35s); // All have begun a new wait.
+  Running.Platform.setSilent(true);
+  Running.Time.advance(8s);
+  Running.operatorWrites("config/main", configText(2));
+  Running.Platform.setSilent(false);
+  // Machines are bound again three seconds after an impairment.
+  Running.Time.advance(3s);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->routes()->config().Version == 2);
+  Running.operatorWrites("config/main", configText(3));
+  // No requests pass between these daemons, so nobody hears of it otherwise.
+  Running.Time.advance(2s);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->routes()->config().Version == 3);
+}
+
+TEST_CASE("a wait on a connection that fell silent ends with the first sign "
+          "that others are ahead") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  auto Two = Running.daemon("10.0.0.2");
+  for (auto *Each : {One.get(), Two.get()}) {
+    Each->State->merge(server("i-1", 1));
+    MeshEndpoint Second = server("i-2", 1);
+    Second.Gate.Host = Second.Server.Host = "10.0.0.2";
+    Each->State->merge(Second);
+  }
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(3s);
+  // All waits are lost, but calls are answered.
+  Running.Platform.setSilent(true);
+  Running.Platform.setSilent(false);
+  Running.operatorWrites("config/main", configText(2));
+  One->State->heardRevision({"10.0.0.2", 7000}, 1000);
+  Running.Time.advance(1s);
+  CHECK(One->State->routes()->config().Version == 2);
+  Running.operatorWrites("config/main", configText(3));
+  Running.Time.advance(1s);
+  CHECK(One->State->routes()->config().Version == 3);
+}
+
 TEST_CASE("a daemon that the platform turns away learns from a peer") {
   Bench Running;
   auto One = Running.daemon("10.0.0.1");
