A new process waits for its peers' records and learns that its server leaves

Two like cases were open: a new process that cannot read the platform took reports after 1 s though peers knew better, and a gate did not hear of a leaving that only peers remembered.

Change: reports are held until the records of the platform or of a peer are known, 2.5 s at most; the gate takes over a leaving that others tell.

Tests in mesh_forward_test; two of the three fail without the change.

--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -33,10 +33,20 @@
 }
 
 void MeshState::setListed() {
-  if (Listed)
-    return;
   Listed = true;
-  for (const auto &Each : ListedHandlers)
+  tellKnown();
+}
+
+void MeshState::setToldByPeer() {
+  ToldByPeer = true;
+  tellKnown();
+}
+
+void MeshState::tellKnown() {
+  if (KnownTold)
+    return;
+  KnownTold = true;
+  for (const auto &Each : KnownHandlers)
     Each();
 }
 
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -39,12 +39,15 @@
   bool merge(const MeshEndpoint &Record);
   void remove(const std::string &Id);
 
-  // The platform's records of servers have been read in the life of this
-  // process.
+  // The records of servers have been read in the life of this process, from the
+  // platform or from a peer that has some.
   bool endpointsListed() const { return Listed; }
   void setListed();
-  void onListed(std::function<void()> Handler) {
-    ListedHandlers.push_back(std::move(Handler));
+  bool endpointsKnown() const { return Listed || ToldByPeer; }
+  void setToldByPeer();
+  // Called at the first of these.
+  void onEndpointsKnown(std::function<void()> Handler) {
+    KnownHandlers.push_back(std::move(Handler));
   }
 
   RolloutBook &rollouts() { return Rollouts; }
@@ -71,12 +74,16 @@
   }
 
 private:
+  void tellKnown();
+
   RouteTablePtr Routes;
   std::string ConfigText;
   Directory Servers;
   RolloutBook Rollouts;
   bool Listed = false;
-  std::vector<std::function<void()>> ListedHandlers;
+  bool ToldByPeer = false;
+  bool KnownTold = false;
+  std::vector<std::function<void()>> KnownHandlers;
   std::vector<std::function<void(const Address &)>> BehindHandlers;
   std::vector<std::function<void()>> ConfigHandlers;
   std::vector<std::function<void(const MeshEndpoint &)>> EndpointHandlers;
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -104,6 +104,8 @@
   for (const wire::EndpointRecord &Each : Reply.endpoints)
     if (std::optional<MeshEndpoint> Record = endpointOf(Each))
       State->merge(*Record);
+  if (!Reply.endpoints.empty())
+    State->setToldByPeer();
 }
 
 void PeerSync::pull(const Address &From) {
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -12,8 +12,9 @@
 constexpr int MissedReports = 4;
 constexpr Duration SilenceCheckPeriod = 500ms;
 // A new process may have acknowledged in an earlier life that a server leaves:
-// it waits this long for the records of that.
-constexpr Duration RecordsWait = 1s;
+// it waits this long for the records of that, from the platform or from peers.
+// Peers open streams to a host that came back within two seconds.
+constexpr Duration RecordsWait = 2500ms;
 // A report may come this late.
 constexpr Duration ReportDelayLimit = 10s;
 // An acknowledgement that takes a second counts as none.
@@ -29,7 +30,8 @@
   Publisher = &Host.find<EndpointPublisher>("store_sync");
   Peers = &Host.find<PeerTransport>("peers");
   Started = LastCheck = Time->now();
-  State->onListed([this] { retryHeldReports(); });
+  State->onEndpointsKnown([this] { retryHeldReports(); });
+  State->onEndpoint([this](const MeshEndpoint &Each) { learn(Each); });
   SilenceTimer = Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
 }
 
@@ -81,7 +83,7 @@
     return;
   }
   bool RecordsUnread =
-      !State->endpointsListed() && Time->now() - Started < RecordsWait;
+      !State->endpointsKnown() && Time->now() - Started < RecordsWait;
   if (!Report.Draining && RecordsUnread) {
     Held[Report.Id] = Report;
     Acknowledge();
@@ -91,6 +93,21 @@
   take(Record, std::move(Acknowledge));
 }
 
+// Others may know that a server beside this daemon leaves: an earlier process
+// of this daemon acknowledged it and told them.
+void Registry::learn(const MeshEndpoint &Record) {
+  if (Record.Gate != Options.Gate || Record.State <= EndpointState::Unreachable)
+    return;
+  Known &Entry = Servers[Record.Id];
+  if (!Record.supersedes(Entry.Record))
+    return;
+  logInfo("server_leaves_as_told", {{"server", Record.Id},
+                                    {"state", nameOf(Record.State)},
+                                    {"sequence", Record.Sequence}});
+  Entry.Record = Record;
+  TheGate->serverChanged(Record);
+}
+
 void Registry::retryHeldReports() {
   std::map<std::string, ServerReport> Reports;
   Reports.swap(Held);
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -6,7 +6,8 @@
 // acknowledged, so that a daemon that is killed right after and starts anew
 // does not take a delayed report for a sign that the server is ready. If the
 // platform does not answer in time, the report is acknowledged all the same:
-// this daemon sends the server nothing more.
+// this daemon sends the server nothing more. A new process waits for the
+// records of the platform or of its peers before it takes a server for ready.
 
 #ifndef CYCLAMENWIND_MESH_REGISTRY_H
 #define CYCLAMENWIND_MESH_REGISTRY_H
@@ -74,6 +75,7 @@
   };
 
   bool isLater(const MeshEndpoint &Record) const;
+  void learn(const MeshEndpoint &Record);
   void retryHeldReports();
   void take(const MeshEndpoint &Record, std::function<void()> Acknowledge);
   void announce(const MeshEndpoint &Record);
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -176,7 +176,8 @@
     Added.Reports =
         Keep(std::make_unique<Registry>(RegistryOptions{{Host, 7000}, 1500ms}));
     Added.Services->start();
-    Added.State->setListed();
+    if (Listed)
+      Added.State->setListed();
     Added.State->apply(config(), "");
     Added.Peers->handle(
         FrameType::EndpointAnnounce,
@@ -242,6 +243,7 @@
   FakeServers Servers;
   platform::Headers Format;
   bool StoreAnswers = true;
+  bool Listed = true; // Daemons have read the platform's records.
   std::deque<Daemon> Daemons;
   int Sent = 0;
 };
@@ -402,6 +404,66 @@
   CHECK(Running.Daemons[0].State->directory().find(Late.Id) == nullptr);
 }
 
+TEST_CASE("a new process takes a delayed report of a server that left only "
+          "until a peer knows better") {
+  Mesh Running(1);
+  Mesh::Daemon &New = Running.Daemons[0];
+  // This process did not see the leaving; peers did, and tell it now.
+  MeshEndpoint Left = *New.State->directory().find("i-1");
+  Left.State = EndpointState::Draining;
+  Left.Sequence = 15;
+  New.State->merge(Left);
+  int Before = Running.Servers.Arrivals["10.0.0.1"];
+  // Another daemon that has not heard of it sends a request to this gate.
+  wire::ForwardRequest Message;
+  Message.instanceId = "i-1";
+  Message.serviceName = "quote";
+  Message.method = "GET";
+  Message.target = "/read/1";
+  Message.remainingUs = 500000;
+  Message.objectiveUs = 500000;
+  std::string Reason;
+  New.TheGate->submit(Message, [&Reason](const wire::ForwardReply &Reply) {
+    Reason = Reply.reason;
+  });
+  Running.Time.advance(100ms);
+  CHECK(Reason == nameOf(GateReason::Leaving));
+  CHECK(Running.Servers.Arrivals["10.0.0.1"] == Before);
+  Running.report(0, 14);
+  CHECK(New.State->directory().find("i-1")->State == EndpointState::Draining);
+}
+
+TEST_CASE("a new process that cannot read the platform waits for its peers' "
+          "records before it takes a report") {
+  Mesh Running(0);
+  Running.Listed = false;
+  Running.add("10.0.0.1");
+  Mesh::Daemon &New = Running.Daemons[0];
+  Running.Time.advance(1500ms);
+  CHECK(New.State->directory().ready("quote").empty());
+  MeshEndpoint Known;
+  Known.Id = "i-1";
+  Known.Service = "quote";
+  Known.Gate = {"10.0.0.1", 7000};
+  Known.Server = {"10.0.0.1", 8000};
+  Known.Slots = 2;
+  Known.Born = 1000;
+  Known.Sequence = 9;
+  Known.State = EndpointState::Gone;
+  New.State->merge(Known);
+  New.State->setToldByPeer();
+  Running.Time.advance(5s);
+  CHECK(New.State->directory().ready("quote").empty());
+}
+
+TEST_CASE("a new process without platform and peers takes reports in the end") {
+  Mesh Running(0);
+  Running.Listed = false;
+  Running.add("10.0.0.1");
+  Running.Time.advance(3500ms);
+  CHECK(Running.Daemons[0].State->directory().ready("quote").size() == 1);
+}
+
 TEST_CASE("a leaving server is acknowledged in time though the platform does "
           "not answer") {
   Mesh Running(1);
