A daemon that starts anew takes its server over as soon as it says it is well

Change: the records of the platform or of peers name the server; its health path is asked once and must answer 200 with the record's id. A gate's own word ends Unreachable at any sequence number of the server, hearsay of it is not taken. Peers end their avoidance when a server is Ready again.

Tests in mesh_forward_test.

--- a/cyclamenwind/mesh/chooser.cpp
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -138,6 +138,12 @@
   Known.ReportedAt = Now;
 }
 
+void EndpointChooser::regained(const std::string &Id) {
+  auto Found = States.find(Id);
+  if (Found != States.end())
+    Found->second.AvoidUntil = TimePoint();
+}
+
 void EndpointChooser::avoid(const std::string &Id, Duration Span,
                             TimePoint Now) {
   TimePoint &Until = States[Id].AvoidUntil;
--- a/cyclamenwind/mesh/chooser.h
+++ b/cyclamenwind/mesh/chooser.h
@@ -55,6 +55,9 @@
   // last: Id is avoided for Span.
   void avoid(const std::string &Id, Duration Span, TimePoint Now);
 
+  // Id's daemon is there again.
+  void regained(const std::string &Id);
+
   // Share of failures among Id's last answers, as far as is known.
   double failureShare(const std::string &Id, TimePoint Now) const;
 
--- a/cyclamenwind/mesh/directory.cpp
+++ b/cyclamenwind/mesh/directory.cpp
@@ -7,8 +7,29 @@
 
 bool Directory::merge(const MeshEndpoint &Record) {
   auto Found = Endpoints.find(Record.Id);
-  if (Found != Endpoints.end() && !Record.supersedes(Found->second))
+  bool Known = Found != Endpoints.end();
+  if (Known && !Record.supersedes(Found->second))
     return false;
+  bool Hearsay = Known && Record.State == EndpointState::Unreachable &&
+                 Found->second.State == EndpointState::Ready &&
+                 Found->second.Born == Record.Born;
+  return !Hearsay && take(Record);
+}
+
+bool Directory::mergeFromGate(const MeshEndpoint &Record) {
+  auto Found = Endpoints.find(Record.Id);
+  if (Found == Endpoints.end() || Record.supersedes(Found->second))
+    return take(Record);
+  MeshEndpoint &Known = Found->second;
+  bool IsBack = Known.State == EndpointState::Unreachable &&
+                Record.State == EndpointState::Ready &&
+                Known.Born == Record.Born;
+  if (IsBack)
+    Known.State = EndpointState::Ready;
+  return IsBack;
+}
+
+bool Directory::take(const MeshEndpoint &Record) {
   for (auto &[Id, Other] : Endpoints) {
     bool SameServer = Other.Server == Record.Server && Id != Record.Id;
     if (SameServer && Other.Born > Record.Born &&
--- a/cyclamenwind/mesh/directory.h
+++ b/cyclamenwind/mesh/directory.h
@@ -4,7 +4,8 @@
 // beside this daemon, in any order and more than once; the later one of an
 // incarnation wins. A new incarnation at a server's address replaces the old
 // one. Records of servers that left stay until they are removed, so that a
-// delayed record of the same incarnation does not bring them back. Pure.
+// delayed record of the same incarnation does not bring them back. That a
+// server is Unreachable counts only from the daemon beside it. Pure.
 
 #ifndef CYCLAMENWIND_MESH_DIRECTORY_H
 #define CYCLAMENWIND_MESH_DIRECTORY_H
@@ -22,6 +23,11 @@
   // Takes a record; says whether it changed anything.
   bool merge(const MeshEndpoint &Record);
 
+  // The same for a record that the daemon beside the server sent itself. That
+  // daemon alone knows whether it is Unreachable or back, so its later word
+  // counts at any sequence number of the server.
+  bool mergeFromGate(const MeshEndpoint &Record);
+
   // Forgets the server called Id.
   void remove(const std::string &Id);
 
@@ -37,6 +43,8 @@
   std::vector<Address> gates() const;
 
 private:
+  bool take(const MeshEndpoint &Record);
+
   std::map<std::string, MeshEndpoint> Endpoints;
 };
 
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -70,6 +70,12 @@
                 });
   Peers->onLinkDown(
       [this](const Address &Peer, LinkEnd End) { linkDown(Peer, End); });
+  State->onEndpoint([this](const MeshEndpoint &Each) {
+    if (Each.State == EndpointState::Ready)
+      Chooser->regained(Each.Id);
+    else if (Each.State == EndpointState::Gone)
+      Chooser->forget(Each.Id);
+  });
 }
 
 void Forwarder::stop() {
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -14,6 +14,8 @@
 constexpr Duration AnswerMargin = 50ms;
 // A peer whose stream broke may connect anew and still want its answers.
 constexpr Duration PeerGrace = 350ms;
+// A health check takes a few milliseconds unless the server is full.
+constexpr Duration HealthTimeout = 300ms;
 constexpr int FirstFailureStatus = 500;
 constexpr double Thousand = 1000;
 
@@ -77,6 +79,7 @@
 void Gate::stop() {
   ExpiryTimer.reset();
   Abandoning.clear();
+  HealthChecks.clear();
   Requests.clear();
 }
 
@@ -106,6 +109,26 @@
     refuse(Each, GateReason::NoServer, /*Arrived=*/false);
 }
 
+void Gate::askHealth(const MeshEndpoint &Record, const std::string &Path,
+                     std::function<void(bool)> Done) {
+  GateTicket Ticket = NextTicket++;
+  auto Finish = [this, Ticket, Id = Record.Id, Done = std::move(Done)](
+                    Result<HttpResponse, HttpClientError> Outcome) {
+    std::unique_ptr<HttpCall> Finished = std::move(HealthChecks[Ticket]);
+    HealthChecks.erase(Ticket);
+    constexpr int Healthy = 200;
+    bool Same = Outcome && Outcome.value().Status == Healthy &&
+                Format.readAnswer(Outcome.value()).InstanceId == Id;
+    logInfo("server_asked_health",
+            {{"server", Id},
+             {"status", Outcome ? Outcome.value().Status : 0},
+             {"healthy", int(Same)}});
+    Done(Same);
+  };
+  HealthChecks[Ticket] = Servers->send(Record.Server, {"GET", Path, {}, ""},
+                                       HealthTimeout, std::move(Finish));
+}
+
 // Null if the server that Message names is not beside this daemon.
 Gate::Server *Gate::serverFor(const wire::ForwardRequest &Message) {
   auto Named = Beside.find(Message.instanceId);
--- a/cyclamenwind/mesh/gate.h
+++ b/cyclamenwind/mesh/gate.h
@@ -69,6 +69,12 @@
   // from within submit(). Returns a ticket for cancel().
   GateTicket submit(wire::ForwardRequest Request, ForwardDone Done);
 
+  // Asks the server of Record at Path whether it is healthy and does not leave.
+  // Done is told no if it does not say so, or is another server, and is never
+  // called from within.
+  void askHealth(const MeshEndpoint &Record, const std::string &Path,
+                 std::function<void(bool Healthy)> Done);
+
   // Gives a request up; Done is not called any more.
   void cancel(GateTicket Ticket);
 
@@ -136,6 +142,7 @@
   std::map<std::pair<Address, int64_t>, GateTicket> FromPeers;
   std::map<Address, TimerHandle> Abandoning;
   VersionOutcomes Outcomes;
+  std::map<GateTicket, std::unique_ptr<HttpCall>> HealthChecks;
   GateTicket NextTicket = 1;
   bool Stopping = false;
   TimerHandle ExpiryTimer;
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -21,6 +21,18 @@
 bool MeshState::merge(const MeshEndpoint &Record) {
   if (!Servers.merge(Record))
     return false;
+  merged(Record);
+  return true;
+}
+
+bool MeshState::mergeFromGate(const MeshEndpoint &Record) {
+  if (!Servers.mergeFromGate(Record))
+    return false;
+  merged(Record);
+  return true;
+}
+
+void MeshState::merged(const MeshEndpoint &Record) {
   logInfo("endpoint_changed", {{"server", Record.Id},
                                {"service", Record.Service},
                                {"version", Record.Version},
@@ -29,7 +41,6 @@
                                {"gate", Record.Gate.text()}});
   for (const auto &Each : EndpointHandlers)
     Each(Record);
-  return true;
 }
 
 void MeshState::setListed() {
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -37,6 +37,8 @@
 
   // Takes a record; says whether it changed anything.
   bool merge(const MeshEndpoint &Record);
+  // The same for a record that the daemon beside the server sent itself.
+  bool mergeFromGate(const MeshEndpoint &Record);
   void remove(const std::string &Id);
 
   // The records of servers have been read in the life of this process, from the
@@ -75,6 +77,7 @@
 
 private:
   void tellKnown();
+  void merged(const MeshEndpoint &Record);
 
   RouteTablePtr Routes;
   std::string ConfigText;
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -58,9 +58,15 @@
     logWarning("frame_malformed", {{"peer", From.text()}});
     return;
   }
-  for (const wire::EndpointRecord &Each : Message.value().endpoints)
-    if (std::optional<MeshEndpoint> Record = endpointOf(Each))
+  for (const wire::EndpointRecord &Each : Message.value().endpoints) {
+    std::optional<MeshEndpoint> Record = endpointOf(Each);
+    if (!Record)
+      continue;
+    if (Record->Gate == From)
+      State->mergeFromGate(*Record);
+    else
       State->merge(*Record);
+  }
 }
 
 void PeerSync::receivePull(const Address &From, std::string_view Payload) {
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -30,7 +30,11 @@
   Publisher = &Host.find<EndpointPublisher>("store_sync");
   Peers = &Host.find<PeerTransport>("peers");
   Started = LastCheck = Time->now();
-  State->onEndpointsKnown([this] { retryHeldReports(); });
+  State->onEndpointsKnown([this] {
+    retryHeldReports();
+    adoptRecorded();
+  });
+  State->onConfig([this] { adoptRecorded(); });
   State->onEndpoint([this](const MeshEndpoint &Each) { learn(Each); });
   SilenceTimer = Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
 }
@@ -108,6 +112,38 @@
   TheGate->serverChanged(Record);
 }
 
+// The server ran on while this daemon was away. Whether it leaves meanwhile is
+// its own word to say: the record may be older than what it last said.
+void Registry::adoptRecorded() {
+  if (Adopted || !State->endpointsKnown() || State->routes() == nullptr)
+    return;
+  Adopted = true;
+  std::vector<MeshEndpoint> Own;
+  for (const auto &[Id, Each] : State->directory().all())
+    if (Each.Gate == Options.Gate && Each.State <= EndpointState::Unreachable &&
+        Servers.count(Id) == 0)
+      Own.push_back(Each);
+  for (const MeshEndpoint &Each : Own) {
+    const MeshService *Of = State->routes()->service(Each.Service);
+    if (Of == nullptr || Of->HealthPath.empty())
+      continue;
+    TheGate->askHealth(Each, Of->HealthPath, [this, Each](bool Healthy) {
+      if (Healthy)
+        adopt(Each);
+    });
+  }
+}
+
+void Registry::adopt(MeshEndpoint Record) {
+  const MeshEndpoint *Present = State->directory().find(Record.Id);
+  if (Servers.count(Record.Id) != 0 || LeftUnknown.count(Record.Id) != 0 ||
+      Present == nullptr || Present->Born != Record.Born ||
+      Present->State > EndpointState::Unreachable)
+    return;
+  Record.State = EndpointState::Ready;
+  take(Record, [] {});
+}
+
 void Registry::retryHeldReports() {
   std::map<std::string, ServerReport> Reports;
   Reports.swap(Held);
@@ -184,7 +220,7 @@
 }
 
 void Registry::announce(const MeshEndpoint &Record) {
-  State->merge(Record);
+  State->mergeFromGate(Record);
   wire::EndpointAnnounce Message;
   Message.endpoints.push_back(recordOf(Record));
   for (const Address &Each : State->directory().gates())
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -7,7 +7,9 @@
 // does not take a delayed report for a sign that the server is ready. If the
 // platform does not answer in time, the report is acknowledged all the same:
 // this daemon sends the server nothing more. A new process waits for the
-// records of the platform or of its peers before it takes a server for ready.
+// records of the platform or of its peers before it takes a server for ready. A
+// server that these name is asked for its health at once, and is ready if it
+// says so before its next report comes.
 
 #ifndef CYCLAMENWIND_MESH_REGISTRY_H
 #define CYCLAMENWIND_MESH_REGISTRY_H
@@ -76,6 +78,8 @@
 
   bool isLater(const MeshEndpoint &Record) const;
   void learn(const MeshEndpoint &Record);
+  void adoptRecorded();
+  void adopt(MeshEndpoint Record);
   void retryHeldReports();
   void take(const MeshEndpoint &Record, std::function<void()> Acknowledge);
   void announce(const MeshEndpoint &Record);
@@ -94,6 +98,7 @@
   // Servers that left without being known here, and when. A delayed report of
   // theirs does not bring them back.
   std::map<std::string, TimePoint> LeftUnknown;
+  bool Adopted = false; // adoptRecorded() has done its work.
   TimePoint Started;
   TimePoint LastCheck;
   std::map<uint64_t, TimerHandle> AckTimers;
--- a/cyclamenwind/mesh/wire_format.h
+++ b/cyclamenwind/mesh/wire_format.h
@@ -30,7 +30,8 @@
 
 // What a backend server says of its answer.
 struct AnswerTerms {
-  std::string AttemptId; // Empty if absent.
+  std::string AttemptId;  // Empty if absent.
+  std::string InstanceId; // Of the server, on answers to health checks only.
   bool NotRun = false;
   bool Signed = false;
   // The bytes are not the server's own: they were encoded on the way.
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -25,6 +25,7 @@
   bool Signed = true;
   bool LoseAnswer = false;
   bool RefuseConnections = false;
+  bool Healthy = true;
 };
 
 // Plays all backend servers; each daemon has one, at its host's port 8000.
@@ -37,6 +38,7 @@
   std::map<std::string, int> Arrivals; // By host.
   std::map<std::string, int> Cut;      // Runs that were broken off, by host.
   std::vector<HttpRequest> Seen;
+  int HealthChecks = 0;
 
   VirtualTime &Time;
 };
@@ -69,7 +71,13 @@
     ++Servers.Arrivals[To.Host];
     Servers.Seen.push_back(Request);
     HttpResponse Response{Acts.Status, {}, "body of " + To.Host};
-    if (Acts.Shed) {
+    if (Request.Target == "/health") {
+      ++Servers.HealthChecks;
+      Response.Status = Acts.Healthy ? 200 : 503;
+      Response.Headers.push_back(
+          {"Cyclamenwind-Instance-Id",
+           "i-" + To.Host.substr(To.Host.rfind('.') + 1)});
+    } else if (Acts.Shed) {
       Response.Status = 503;
       Response.Headers.push_back({"Cyclamenwind-Not-Executed", "1"});
     } else if (!Acts.RefuseConnections) {
@@ -133,6 +141,7 @@
   Submit.PathPrefix = "/submit/";
   Submit.Idempotent = false;
   Value.Routes = {Read, Submit};
+  Value.Services = {{"quote", "/health", 100}};
   return Value;
 }
 
@@ -176,21 +185,29 @@
     Added.Reports =
         Keep(std::make_unique<Registry>(RegistryOptions{{Host, 7000}, 1500ms}));
     Added.Services->start();
+    for (const MeshEndpoint &Each : Recorded)
+      Added.State->merge(Each);
     if (Listed)
       Added.State->setListed();
     Added.State->apply(config(), "");
     Added.Peers->handle(
         FrameType::EndpointAnnounce,
-        [State = Added.State](const Address &, std::string_view Payload) {
+        [State = Added.State](const Address &From, std::string_view Payload) {
           auto Message = decodeMessage<wire::EndpointAnnounce>(Payload);
-          for (const wire::EndpointRecord &Each : Message.value().endpoints)
-            State->merge(*endpointOf(Each));
+          for (const wire::EndpointRecord &Each : Message.value().endpoints) {
+            MeshEndpoint Record = *endpointOf(Each);
+            if (Record.Gate == From)
+              State->mergeFromGate(Record);
+            else
+              State->merge(Record);
+          }
         });
     // Each daemon learns of the servers that were there before it.
     for (Daemon &Other : Daemons)
       for (const auto &[Id, Each] : Other.State->directory().all())
         Added.State->merge(Each);
-    report(Daemons.size() - 1, 1);
+    if (Reporting)
+      report(Daemons.size() - 1, 1);
   }
 
   ServerReport reportOf(size_t Index, int64_t Sequence, bool Draining = false) {
@@ -243,7 +260,9 @@
   FakeServers Servers;
   platform::Headers Format;
   bool StoreAnswers = true;
-  bool Listed = true; // Daemons have read the platform's records.
+  std::vector<MeshEndpoint> Recorded; // On the platform, when a daemon starts.
+  bool Reporting = true; // A server reports when its daemon starts.
+  bool Listed = true;    // Daemons have read the platform's records.
   std::deque<Daemon> Daemons;
   int Sent = 0;
 };
@@ -464,6 +483,68 @@
   CHECK(Running.Daemons[0].State->directory().ready("quote").size() == 1);
 }
 
+TEST_CASE("all daemons are killed at once: servers are taken over before they "
+          "report again") {
+  Mesh Running(0);
+  Running.Reporting = false;
+  std::vector<MeshEndpoint> Records;
+  for (int I = 1; I <= 3; ++I) {
+    MeshEndpoint Record;
+    Record.Id = "i-" + std::to_string(I);
+    Record.Service = "quote";
+    Record.Version = "v1";
+    Record.FailureDomain = "a";
+    Record.Gate = {"10.0.0." + std::to_string(I), 7000};
+    Record.Server = {"10.0.0." + std::to_string(I), 8000};
+    Record.Slots = 2;
+    Record.Born = 1000;
+    Record.Sequence = 1;
+    Records.push_back(Record);
+  }
+  Running.Recorded = Records;
+  Running.Servers.ByHost["10.0.0.2"].Healthy = false;
+  for (int I = 1; I <= 3; ++I)
+    Running.add("10.0.0." + std::to_string(I));
+  Running.Time.advance(50ms);
+  CHECK(Running.Servers.HealthChecks == 3);
+  for (int I = 0; I < 10; ++I) {
+    auto Received = Running.request("/read/1", size_t(I % 3));
+    Running.Time.advance(50ms);
+    REQUIRE(Received->Answer);
+    CHECK(Received->Answer->Status == 200);
+  }
+  CHECK(Running.Servers.Arrivals["10.0.0.2"] == 1); // The health check.
+  // The server's own word still counts.
+  Running.report(0, 20, /*Draining=*/true);
+  Running.Time.advance(50ms);
+  CHECK(Running.Daemons[2].State->directory().find("i-1")->State ==
+        EndpointState::Draining);
+}
+
+TEST_CASE("planned stops in turn: a daemon that is back is used at once") {
+  Mesh Running(2);
+  Running.report(1, 19);
+  Running.Daemons[1].Reports->announceStopping();
+  Running.Time.advance(10ms);
+  Mesh::Daemon &Peer = Running.Daemons[0];
+  REQUIRE(Peer.State->directory().find("i-2")->State ==
+          EndpointState::Unreachable);
+  // The new process knows the record as it was first stored.
+  MeshEndpoint Stored = *Peer.State->directory().find("i-2");
+  Stored.Sequence = 1;
+  Stored.State = EndpointState::Ready;
+  CHECK_FALSE(Peer.State->merge(Stored));
+  CHECK(Peer.State->mergeFromGate(Stored));
+  CHECK(Peer.State->directory().ready("quote").size() == 2);
+  // Others may still tell that it is away.
+  Stored.Sequence = 19;
+  Stored.State = EndpointState::Unreachable;
+  CHECK_FALSE(Peer.State->merge(Stored));
+  Stored.Sequence = 20;
+  Stored.State = EndpointState::Draining;
+  CHECK(Peer.State->merge(Stored));
+}
+
 TEST_CASE("a leaving server is acknowledged in time though the platform does "
           "not answer") {
   Mesh Running(1);
