Configuration spreads from relays as patches; pulls stay in their failure domain

Change: the relays of a failure domain wait for the configuration; the first sends each change to the others as a zstd patch of the text before; all say every 2 s which revision they have. A daemon that hears of no relay waits itself. Pulls go to peers of the own domain and are compressed.

--- a/cyclamenwind/mesh/config.h
+++ b/cyclamenwind/mesh/config.h
@@ -17,6 +17,9 @@
 
 namespace cyclamenwind {
 
+// A configuration's text is no larger: one object of the platform holds it.
+inline constexpr size_t MaxConfigBytes = 1 << 20;
+
 struct WeightedService {
   std::string Service;
   double Weight = 1;
--- /dev/null
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -0,0 +1,116 @@
+#include "cyclamenwind/mesh/config_relay.h"
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/text_patch.h"
+
+#include <algorithm>
+
+namespace cyclamenwind {
+namespace {
+
+// How often relays say which revision they have.
+constexpr Duration SayPeriod = 2s;
+// A relay that was not heard of for two periods and some delay is not counted
+// on: configuration has to be in force two seconds after it was accepted.
+constexpr Duration RelayPatience = 4500ms;
+
+} // namespace
+
+void ConfigRelay::start(Kernel &Host) {
+  Time = &Host.clock();
+  State = &Host.find<MeshState>("mesh_state");
+  Store = &Host.find<StoreSync>("store_sync");
+  Peers = &Host.find<PeerTransport>("peers");
+  Peers->handle(FrameType::ConfigPush,
+                [this](const Address &From, std::string_view Payload) {
+                  receive(From, Payload);
+                });
+  State->onConfig([this] { configChanged(); });
+  Store->ConfigIsRelayed = [this] { return heardWithin(RelayPatience); };
+  Ticker = Host.scheduler().every(SayPeriod, [this] { tick(); });
+}
+
+bool ConfigRelay::heardWithin(Duration Span) const {
+  TimePoint Now = Time->now();
+  return std::any_of(Heard.begin(), Heard.end(), [&](const auto &Entry) {
+    return Now - Entry.second < Span;
+  });
+}
+
+// Whether a relay that comes before this one does the work.
+bool ConfigRelay::heardEarlierRelay() const {
+  TimePoint Now = Time->now();
+  return std::any_of(Heard.begin(), Heard.end(), [&](const auto &Entry) {
+    return Entry.first < Peers->self() && Now - Entry.second < RelayPatience;
+  });
+}
+
+bool ConfigRelay::relaysNow() const {
+  return Store->isRelay() && Store->configReachable();
+}
+
+void ConfigRelay::configChanged() {
+  if (!relaysNow()) {
+    BaseText.clear();
+    BaseRevision = 0;
+    return;
+  }
+  std::string Patch;
+  if (BaseRevision != 0 && !heardEarlierRelay())
+    Patch = makePatch(BaseText, State->configText());
+  push(Patch, BaseRevision);
+  BaseText = State->configText();
+  BaseRevision = State->configRevision();
+}
+
+void ConfigRelay::tick() {
+  if (relaysNow())
+    push("", 0);
+}
+
+void ConfigRelay::push(const std::string &Patch, uint64_t From) {
+  wire::ConfigPush Message;
+  Message.revision = static_cast<int64_t>(State->configRevision());
+  Message.baseRevision = static_cast<int64_t>(From);
+  Message.patch = Patch;
+  std::string Payload = encodeMessage(Message);
+  for (const Address &Each : Store->domainGates())
+    if (Peers->linkUp(Each))
+      Peers->send(Each, FrameType::ConfigPush, Payload);
+}
+
+void ConfigRelay::receive(const Address &From, std::string_view Payload) {
+  Result<wire::ConfigPush, FrameError> Decoded =
+      decodeMessage<wire::ConfigPush>(Payload);
+  if (!Decoded) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  const wire::ConfigPush &Message = Decoded.value();
+  auto Revision = static_cast<uint64_t>(Message.revision);
+  Heard[From] = Time->now();
+  if (Revision <= State->configRevision())
+    return;
+  bool Applies =
+      !Message.patch.empty() &&
+      static_cast<uint64_t>(Message.baseRevision) == State->configRevision();
+  if (!Applies) {
+    State->heardRevision(From, Revision);
+    return;
+  }
+  std::optional<std::string> Text =
+      applyPatch(State->configText(), Message.patch, MaxConfigBytes);
+  std::optional<MeshConfig> Config;
+  if (Text)
+    Config = Codec.config(*Text, Revision);
+  if (!Config) {
+    logError("config_unreadable",
+             {{"peer", From.text()}, {"revision", Revision}});
+    State->heardRevision(From, Revision);
+    return;
+  }
+  Store->configTold(Revision);
+  State->apply(std::move(*Config), std::move(*Text));
+}
+
+} // namespace cyclamenwind
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/http/pooled_client.h"
+#include "cyclamenwind/mesh/config_relay.h"
 #include "cyclamenwind/mesh/forwarder.h"
 #include "cyclamenwind/mesh/gate.h"
 #include "cyclamenwind/mesh/mesh_state.h"
@@ -109,6 +110,7 @@
   Services.add(std::make_unique<Registry>(
       RegistryOptions{Settings.Peers, Settings.ReportPeriod}));
   Services.add(std::make_unique<PeerSync>(Adapters.Codec));
+  Services.add(std::make_unique<ConfigRelay>(Adapters.Codec));
   Services.add(std::make_unique<RolloutDriver>());
 }
 
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/mesh/peer_sync.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/text_patch.h"
 
 #include <algorithm>
 
@@ -79,7 +80,7 @@
   wire::StateReply Reply;
   Reply.configRevision = static_cast<int64_t>(State->configRevision());
   if (Reply.configRevision > Message.value().configRevision)
-    Reply.config = State->configText();
+    Reply.config = makePatch("", State->configText());
   for (const auto &[Id, Each] : State->directory().all())
     Reply.endpoints.push_back(recordOf(Each));
   Peers->sendMessage(From, FrameType::StateReply, Reply);
@@ -94,14 +95,16 @@
   }
   wire::StateReply &Reply = Message.value();
   auto Revision = static_cast<uint64_t>(Reply.configRevision);
-  if (Reply.config.empty())
-    State->heardRevision(From, Revision);
   if (!Reply.config.empty() && Revision > State->configRevision()) {
-    if (std::optional<MeshConfig> Config =
-            Codec.config(Reply.config, Revision)) {
+    std::optional<std::string> Text =
+        applyPatch("", Reply.config, MaxConfigBytes);
+    std::optional<MeshConfig> Config;
+    if (Text)
+      Config = Codec.config(*Text, Revision);
+    if (Config) {
       logInfo("config_from_peer",
               {{"peer", From.text()}, {"revision", Revision}});
-      State->apply(std::move(*Config), std::move(Reply.config));
+      State->apply(std::move(*Config), std::move(*Text));
     } else {
       logError("config_unreadable",
                {{"peer", From.text()}, {"revision", Revision}});
@@ -151,9 +154,20 @@
   removeDead(Now);
   if (Store->configReachable() && Store->endpointsReachable())
     return;
+  std::vector<Address> Candidates = pullCandidates();
+  if (!Candidates.empty())
+    pull(Candidates[Dice->below(Candidates.size())]);
+}
+
+// Reached daemons of this failure domain, or all that are reached if there is
+// none: a reply has the whole configuration.
+std::vector<Address> PeerSync::pullCandidates() const {
+  std::set<Address> Near = Store->domainGates();
   std::vector<Address> Linked = Peers->linked();
-  if (!Linked.empty())
-    pull(Linked[Dice->below(Linked.size())]);
+  std::vector<Address> Result;
+  std::copy_if(Linked.begin(), Linked.end(), std::back_inserter(Result),
+               [&Near](const Address &Each) { return Near.count(Each) != 0; });
+  return Result.empty() ? Linked : Result;
 }
 
 void PeerSync::keepContact() {
--- a/cyclamenwind/mesh/peer_sync.h
+++ b/cyclamenwind/mesh/peer_sync.h
@@ -44,6 +44,7 @@
   void tick();
   void keepContact();
   void contact(const Address &Daemon);
+  std::vector<Address> pullCandidates() const;
   void removeDead(TimePoint Now);
 
   const MeshCodec &Codec;
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -39,8 +39,7 @@
   // While the platform is away only one watch asks for it.
   auto MayRetry = [this] { return !ConfigWatch->lost(); };
   ConfigWatch = std::make_unique<KindWatch>(
-      Platform, *Timers, *Dice,
-      following(Codec.configPrefix(), ConfigCollect, FollowMode::Watch),
+      Platform, *Timers, *Dice, followingConfig(),
       KindWatch::Handlers{[this](const PlatformListing &Listing) {
                             for (const PlatformObject &Each : Listing.Objects)
                               takeConfig(Each);
@@ -87,6 +86,18 @@
   EndpointWatch->start();
 }
 
+// Others wait for the configuration only while they hear of no relay.
+KindWatchOptions StoreSync::followingConfig() {
+  KindWatchOptions Options;
+  Options.Prefix = Codec.configPrefix();
+  Options.Collect = ConfigCollect;
+  Options.Mode = [this] {
+    bool Relayed = ConfigIsRelayed && ConfigIsRelayed() && !isRelay();
+    return Relayed ? FollowMode::Told : FollowMode::Watch;
+  };
+  return Options;
+}
+
 // Options for Prefix: relays wait for changes, others follow by OfOthers.
 KindWatchOptions StoreSync::following(const std::string &Prefix,
                                       Duration Collect, FollowMode OfOthers) {
@@ -138,6 +149,11 @@
       });
 }
 
+void StoreSync::configTold(uint64_t Revision) {
+  if (ConfigWatch)
+    ConfigWatch->told(Revision);
+}
+
 void StoreSync::stop() {
   *Alive = false;
   ConfigWatch.reset();
@@ -158,17 +174,6 @@
     return;
   }
   State->apply(std::move(*Config), Object.Value);
-  if (isRelay())
-    announceRevision();
-}
-
-// Those whose own wait for changes was lost notice it by this.
-void StoreSync::announceRevision() {
-  wire::StateReply Message;
-  Message.configRevision = static_cast<int64_t>(State->configRevision());
-  for (const Address &Each : domainGates())
-    if (Peers->linkUp(Each))
-      Peers->sendMessage(Each, FrameType::StateReply, Message);
 }
 
 void StoreSync::takeRollout(const PlatformObject &Object) {
@@ -261,7 +266,6 @@
     Peers->sendMessage(Each, FrameType::EndpointAnnounce, Message);
 }
 
-// Other daemons of this failure domain.
 std::set<Address> StoreSync::domainGates() const {
   std::set<Address> Result;
   for (const auto &[Id, Each] : State->directory().all())
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,8 +5,8 @@
 // the status of rollouts. Every write is conditional on the version that was
 // read. A write without an answer is resolved by reading the object back.
 //
-// Every daemon waits for a new configuration; one whose wait was lost notices
-// by a call without an answer, or by peers that are ahead. A few daemons of
+// Lost waits are noticed by a call without an answer, or by peers that are
+// ahead. A few daemons of
 // each failure domain, its relays, wait for changes of records and rollouts, by
 // watches that may be seconds late and cost a tenth, and tell the others, as do
 // the daemons that make the changes; the others list them from time to time.
@@ -71,6 +71,19 @@
   // Reads the configuration now.
   void readConfig();
 
+  // Whether this daemon is one of those of its failure domain that wait for
+  // changes on behalf of the others.
+  bool isRelay() const;
+
+  // A peer brought the configuration of Revision.
+  void configTold(uint64_t Revision);
+
+  // Whether relays keep this daemon's configuration up to date.
+  std::function<bool()> ConfigIsRelayed;
+
+  // Other daemons of this failure domain.
+  std::set<Address> domainGates() const;
+
   // Whether the configuration is being followed.
   bool configReachable() const {
     return ConfigWatch && ConfigWatch->reachable();
@@ -92,7 +105,6 @@
   void doubtWaits();
   void noteError(PlatformError Error);
   void takeConfig(const PlatformObject &Object);
-  void announceRevision();
   void takeRollout(const PlatformObject &Object);
   void announceRollout(const PlatformObject &Object);
   void receiveRollout(const Address &From, std::string_view Payload);
@@ -100,11 +112,10 @@
   void rolloutChanged(const PlatformChange &Change);
   void takeEndpoint(const PlatformObject &Object);
   void flushAnnouncements();
-  std::set<Address> domainGates() const;
   void announceEndpoint(const PlatformObject &Object);
+  KindWatchOptions followingConfig();
   KindWatchOptions following(const std::string &Prefix, Duration Collect,
                              FollowMode OfOthers);
-  bool isRelay() const;
   void endpointsListed(const PlatformListing &Listing);
   void endpointRemoved(const std::string &Id);
   void write(const std::string &Id);
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -57,6 +57,7 @@
   StateReply = 55,
   VersionEvidence = 56,
   RolloutAnnounce = 57,
+  ConfigPush = 58,
 };
 
 // A body of the largest size with its headers.
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -52,6 +52,10 @@
 
 void KindWatch::follow() {
   FollowMode Mode = Options.Mode ? Options.Mode() : FollowMode::Watch;
+  if (Mode == FollowMode::Told) {
+    Next = Timers.after(Options.TellPeriod, [this] { follow(); });
+    return;
+  }
   if (Mode != FollowMode::ListStale) {
     wait(Mode == FollowMode::WatchStale);
     return;
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -24,6 +24,7 @@
   Watch,      // Waits for changes.
   WatchStale, // Waits for changes that may be shown seconds late.
   ListStale,  // Reads the listing from time to time, seconds late.
+  Told,       // Makes no calls: the owner learns of changes in another way.
 };
 
 struct KindWatchOptions {
@@ -39,6 +40,8 @@
   // second, since most changes come while a fleet starts.
   Duration FirstListPeriod = 1500ms;
   Duration ListPeriod = 15s;
+  // How often Mode is asked in FollowMode::Told.
+  Duration TellPeriod = 2s;
   // Asked before each wait. Empty: always Watch.
   std::function<FollowMode()> Mode = {};
 };
@@ -69,6 +72,9 @@
   // Tries again now if a failure was left to resume().
   void resume();
 
+  // The owner has learned of all up to Revision in another way.
+  void told(uint64_t Upto) { Revision = std::max(Revision, Upto); }
+
   // A wait that is under way may have been lost: asks anew.
   void doubt();
 
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -1758,6 +1758,151 @@
 }
 
 
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfigPush::__set_baseRevision(const int64_t val) {
+  this->baseRevision = val;
+}
+
+void ConfigPush::__set_patch(const std::string& val) {
+  this->patch = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseRevision);
+          this->__isset.baseRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->patch);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->patch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.baseRevision, b.baseRevision);
+  swap(a.patch, b.patch);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other53) {
+  revision = other53.revision;
+  baseRevision = other53.baseRevision;
+  patch = other53.patch;
+  __isset = other53.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other54) noexcept {
+  revision = other54.revision;
+  baseRevision = other54.baseRevision;
+  patch = std::move(other54.patch);
+  __isset = other54.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other55) {
+  revision = other55.revision;
+  baseRevision = other55.baseRevision;
+  patch = other55.patch;
+  __isset = other55.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other56) noexcept {
+  revision = other56.revision;
+  baseRevision = other56.baseRevision;
+  patch = std::move(other56.patch);
+  __isset = other56.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "baseRevision=" << to_string(baseRevision);
+  out << ", " << "patch=" << to_string(patch);
+  out << ")";
+}
+
+
 VersionOutcome::~VersionOutcome() noexcept {
 }
 
@@ -1918,42 +2063,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionOutcome::VersionOutcome(const VersionOutcome& other53) {
-  serviceName = other53.serviceName;
-  serverVersion = other53.serverVersion;
-  route = other53.route;
-  answers = other53.answers;
-  failures = other53.failures;
-  totalUs = other53.totalUs;
-  __isset = other53.__isset;
-}
-VersionOutcome::VersionOutcome(VersionOutcome&& other54) noexcept {
-  serviceName = std::move(other54.serviceName);
-  serverVersion = std::move(other54.serverVersion);
-  route = std::move(other54.route);
-  answers = other54.answers;
-  failures = other54.failures;
-  totalUs = other54.totalUs;
-  __isset = other54.__isset;
-}
-VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other55) {
-  serviceName = other55.serviceName;
-  serverVersion = other55.serverVersion;
-  route = other55.route;
-  answers = other55.answers;
-  failures = other55.failures;
-  totalUs = other55.totalUs;
-  __isset = other55.__isset;
+VersionOutcome::VersionOutcome(const VersionOutcome& other57) {
+  serviceName = other57.serviceName;
+  serverVersion = other57.serverVersion;
+  route = other57.route;
+  answers = other57.answers;
+  failures = other57.failures;
+  totalUs = other57.totalUs;
+  __isset = other57.__isset;
+}
+VersionOutcome::VersionOutcome(VersionOutcome&& other58) noexcept {
+  serviceName = std::move(other58.serviceName);
+  serverVersion = std::move(other58.serverVersion);
+  route = std::move(other58.route);
+  answers = other58.answers;
+  failures = other58.failures;
+  totalUs = other58.totalUs;
+  __isset = other58.__isset;
+}
+VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other59) {
+  serviceName = other59.serviceName;
+  serverVersion = other59.serverVersion;
+  route = other59.route;
+  answers = other59.answers;
+  failures = other59.failures;
+  totalUs = other59.totalUs;
+  __isset = other59.__isset;
   return *this;
 }
-VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other56) noexcept {
-  serviceName = std::move(other56.serviceName);
-  serverVersion = std::move(other56.serverVersion);
-  route = std::move(other56.route);
-  answers = other56.answers;
-  failures = other56.failures;
-  totalUs = other56.totalUs;
-  __isset = other56.__isset;
+VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other60) noexcept {
+  serviceName = std::move(other60.serviceName);
+  serverVersion = std::move(other60.serverVersion);
+  route = std::move(other60.route);
+  answers = other60.answers;
+  failures = other60.failures;
+  totalUs = other60.totalUs;
+  __isset = other60.__isset;
   return *this;
 }
 void VersionOutcome::printTo(std::ostream& out) const {
@@ -2012,14 +2157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->outcomes.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->outcomes.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->outcomes[_i61].read(iprot);
+              xfer += this->outcomes[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2056,10 +2201,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<VersionOutcome> ::const_iterator _iter62;
-    for (_iter62 = this->outcomes.begin(); _iter62 != this->outcomes.end(); ++_iter62)
+    std::vector<VersionOutcome> ::const_iterator _iter66;
+    for (_iter66 = this->outcomes.begin(); _iter66 != this->outcomes.end(); ++_iter66)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2081,26 +2226,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionEvidence::VersionEvidence(const VersionEvidence& other63) {
-  outcomes = other63.outcomes;
-  instance = other63.instance;
-  __isset = other63.__isset;
+VersionEvidence::VersionEvidence(const VersionEvidence& other67) {
+  outcomes = other67.outcomes;
+  instance = other67.instance;
+  __isset = other67.__isset;
 }
-VersionEvidence::VersionEvidence(VersionEvidence&& other64) noexcept {
-  outcomes = std::move(other64.outcomes);
-  instance = other64.instance;
-  __isset = other64.__isset;
+VersionEvidence::VersionEvidence(VersionEvidence&& other68) noexcept {
+  outcomes = std::move(other68.outcomes);
+  instance = other68.instance;
+  __isset = other68.__isset;
 }
-VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other65) {
-  outcomes = other65.outcomes;
-  instance = other65.instance;
-  __isset = other65.__isset;
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other69) {
+  outcomes = other69.outcomes;
+  instance = other69.instance;
+  __isset = other69.__isset;
   return *this;
 }
-VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other66) noexcept {
-  outcomes = std::move(other66.outcomes);
-  instance = other66.instance;
-  __isset = other66.__isset;
+VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other70) noexcept {
+  outcomes = std::move(other70.outcomes);
+  instance = other70.instance;
+  __isset = other70.__isset;
   return *this;
 }
 void VersionEvidence::printTo(std::ostream& out) const {
@@ -2238,34 +2383,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other67) {
-  key = other67.key;
-  revision = other67.revision;
-  order = other67.order;
-  status = other67.status;
-  __isset = other67.__isset;
-}
-RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other68) noexcept {
-  key = std::move(other68.key);
-  revision = other68.revision;
-  order = std::move(other68.order);
-  status = std::move(other68.status);
-  __isset = other68.__isset;
-}
-RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other69) {
-  key = other69.key;
-  revision = other69.revision;
-  order = other69.order;
-  status = other69.status;
-  __isset = other69.__isset;
+RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other71) {
+  key = other71.key;
+  revision = other71.revision;
+  order = other71.order;
+  status = other71.status;
+  __isset = other71.__isset;
+}
+RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other72) noexcept {
+  key = std::move(other72.key);
+  revision = other72.revision;
+  order = std::move(other72.order);
+  status = std::move(other72.status);
+  __isset = other72.__isset;
+}
+RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other73) {
+  key = other73.key;
+  revision = other73.revision;
+  order = other73.order;
+  status = other73.status;
+  __isset = other73.__isset;
   return *this;
 }
-RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other70) noexcept {
-  key = std::move(other70.key);
-  revision = other70.revision;
-  order = std::move(other70.order);
-  status = std::move(other70.status);
-  __isset = other70.__isset;
+RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other74) noexcept {
+  key = std::move(other74.key);
+  revision = other74.revision;
+  order = std::move(other74.order);
+  status = std::move(other74.status);
+  __isset = other74.__isset;
   return *this;
 }
 void RolloutAnnounce::printTo(std::ostream& out) const {
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -50,6 +50,8 @@
 
 class StateReply;
 
+class ConfigPush;
+
 class VersionOutcome;
 
 class VersionEvidence;
@@ -665,6 +667,65 @@
 
 std::ostream& operator<<(std::ostream& out, const StateReply& obj);
 
+typedef struct _ConfigPush__isset {
+  _ConfigPush__isset() : revision(false), baseRevision(false), patch(false) {}
+  bool revision :1;
+  bool baseRevision :1;
+  bool patch :1;
+} _ConfigPush__isset;
+
+class ConfigPush : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPush(const ConfigPush&);
+  ConfigPush(ConfigPush&&) noexcept;
+  ConfigPush& operator=(const ConfigPush&);
+  ConfigPush& operator=(ConfigPush&&) noexcept;
+  ConfigPush() noexcept
+             : revision(0),
+               baseRevision(0),
+               patch() {
+  }
+
+  virtual ~ConfigPush() noexcept;
+  int64_t revision;
+  int64_t baseRevision;
+  std::string patch;
+
+  _ConfigPush__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_baseRevision(const int64_t val);
+
+  void __set_patch(const std::string& val);
+
+  bool operator == (const ConfigPush & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(baseRevision == rhs.baseRevision))
+      return false;
+    if (!(patch == rhs.patch))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPush &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPush & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPush &a, ConfigPush &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
+
 typedef struct _VersionOutcome__isset {
   _VersionOutcome__isset() : serviceName(false), serverVersion(false), route(false), answers(false), failures(false), totalUs(false) {}
   bool serviceName :1;
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -92,11 +92,20 @@
 
 struct StateReply {
   1: i64 configRevision
-  // The configuration as the platform keeps it; empty if not newer.
+  // The configuration as the platform keeps it, as a patch of an empty text;
+  // empty if not newer.
   2: binary config
   3: list<EndpointRecord> endpoints
 }
 
+// A relay's word on the configuration that it has.
+struct ConfigPush {
+  1: i64 revision
+  // Leads to it from the text of baseRevision; empty if nothing changed.
+  2: i64 baseRevision
+  3: binary patch
+}
+
 // Outcomes of one version of a service on one route since the version's
 // rollout began, counted by the daemon beside its backend servers.
 struct VersionOutcome {
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -1,6 +1,7 @@
 // What the mesh keeps on the platform, against the fake platform in virtual
 // time.
 
+#include "cyclamenwind/mesh/config_relay.h"
 #include "cyclamenwind/mesh/peer_sync.h"
 #include "cyclamenwind/mesh/store_sync.h"
 #include "platform/wire.h"
@@ -52,6 +53,7 @@
     Services.add(std::make_unique<MeshState>());
     Services.add(std::make_unique<StoreSync>(*this->Client, Codec, "a"));
     Services.add(std::make_unique<PeerSync>(Codec));
+    Services.add(std::make_unique<ConfigRelay>(Codec));
     Services.start();
     State = &Services.find<MeshState>("mesh_state");
     Store = &Services.find<StoreSync>("store_sync");
@@ -129,6 +131,64 @@
   }
 }
 
+TEST_CASE("configuration storm: only relays ask the platform, and all have the "
+          "last one in two seconds though a relay is killed") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 9; ++I) {
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons.back()->Store->publish(Own, [](bool) {});
+    Running.Time.advance(100ms);
+  }
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(8s);
+  Running.operatorWrites("config/main", configText(2));
+  Running.Time.advance(2s);
+  uint64_t Before = Running.Platform.WatchCalls + Running.Platform.Reads;
+  int Version = 2;
+  while (Version < 30) {
+    Running.operatorWrites("config/main", configText(++Version));
+    Running.Time.advance(250ms);
+  }
+  // Two relays ask at most once in 0.7 s each; a few listings come on top.
+  CHECK(Running.Platform.WatchCalls + Running.Platform.Reads - Before <= 32);
+  Running.Time.advance(2s - 250ms);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->routes()->config().Version == Version);
+  Daemons.erase(Daemons.begin());
+  Running.operatorWrites("config/main", configText(++Version));
+  Running.Time.advance(2s);
+  for (const auto &Each : Daemons)
+    CHECK(Each->State->routes()->config().Version == Version);
+}
+
+TEST_CASE(
+    "both relays of a failure domain freeze: its daemons ask the platform "
+    "themselves once they hear of no relay") {
+  Bench Running;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  for (int I = 1; I <= 5; ++I) {
+    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
+    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
+    Daemons.back()->Store->publish(Own, [](bool) {});
+    Running.Time.advance(100ms);
+  }
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(8s);
+  Running.operatorWrites("config/main", configText(2));
+  Running.Time.advance(4s);
+  for (int I = 1; I <= 2; ++I)
+    Daemons[size_t(I - 1)]->Client->CutOff = true;
+  Running.Time.advance(8s);
+  Running.operatorWrites("config/main", configText(3));
+  Running.Time.advance(2s);
+  for (size_t I = 2; I < 5; ++I)
+    CHECK(Daemons[I]->State->routes()->config().Version == 3);
+}
+
 TEST_CASE("many hosts start at once: all know all servers within two seconds") {
   Bench Running;
   std::vector<std::unique_ptr<Daemon>> Daemons;
