Gauges of the mesh daemon; one time limit for calls to the platform

Cause: the mesh daemon had no metric of its configuration, servers, rollouts, retry allowance and suppressed log lines; and the client of the store was made with 2 s where the daemon's budget had 1 s, two constants for one limit.

Change: gauges are set when metrics are asked for; one constant.

Test: mesh_gauges_test.

--- a/cyclamenwind/base/log.cpp
+++ b/cyclamenwind/base/log.cpp
@@ -69,6 +69,11 @@
   Logger.setLogLevel(levelOf(Level));
 }
 
+BoundedAppender *&boundedAppender() {
+  static BoundedAppender *Installed = nullptr;
+  return Installed;
+}
+
 } // namespace
 
 void startLog(LogLevel Level, const std::string &Member) {
@@ -82,9 +87,15 @@
 
 void startBoundedLog(LogLevel Level, const std::string &Member) {
   initializer();
-  install(Level, Member,
-          log4cplus::SharedAppenderPtr(
-              new BoundedAppender(STDOUT_FILENO, LogBudget())));
+  auto *Bounded = new BoundedAppender(STDOUT_FILENO, LogBudget());
+  // Owned by the logging library, which keeps it to the end of the process.
+  boundedAppender() = Bounded;
+  install(Level, Member, log4cplus::SharedAppenderPtr(Bounded));
+}
+
+uint64_t droppedLogLines() {
+  const BoundedAppender *Bounded = boundedAppender();
+  return Bounded == nullptr ? 0 : Bounded->dropped();
 }
 
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields) {
--- a/cyclamenwind/base/log.h
+++ b/cyclamenwind/base/log.h
@@ -40,6 +40,9 @@
 // the budget of bounded_appender.h.
 void startBoundedLog(LogLevel Level, const std::string &Member);
 
+// Lines that the budget or a full pipe kept from a bounded log since the start.
+uint64_t droppedLogLines();
+
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields);
 
 inline void logInfo(std::string_view Event, LogFields Fields = {}) {
--- a/cyclamenwind/mesh/forwarder.h
+++ b/cyclamenwind/mesh/forwarder.h
@@ -46,6 +46,7 @@
   // Requests that have not been answered yet.
   size_t active() const { return Calls.size(); }
 
+  RetryAllowance &allowance() { return Allowance; }
   EndpointChooser &chooser() { return *Chooser; }
 
 private:
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -5,6 +5,7 @@
 #include "cyclamenwind/mesh/config_relay.h"
 #include "cyclamenwind/mesh/forwarder.h"
 #include "cyclamenwind/mesh/gate.h"
+#include "cyclamenwind/mesh/mesh_gauges.h"
 #include "cyclamenwind/mesh/mesh_state.h"
 #include "cyclamenwind/mesh/peer_sync.h"
 #include "cyclamenwind/mesh/rollout_driver.h"
@@ -33,8 +34,6 @@
 // when many records change.
 constexpr double CallsPerSecond = 20;
 constexpr int CallBurst = 40;
-// An answer takes 4 ms, and 200 ms while the platform is slow.
-constexpr Duration PlatformTimeout = 1s;
 
 uint64_t freshSeed() {
   std::random_device Source;
@@ -45,7 +44,7 @@
   PlatformSettings Options;
   Options.CallsPerSecond = CallsPerSecond;
   Options.Burst = CallBurst;
-  Options.Timeout = PlatformTimeout;
+  Options.Timeout = PlatformCallTimeout;
   return Options;
 }
 
@@ -198,6 +197,12 @@
 }
 
 void MeshDaemon::answerMetrics(const ExchangePtr &Received) {
+  setMeshGauges({Services.find<MeshState>("mesh_state"),
+                 Services.find<StoreSync>("store_sync"),
+                 Services.find<PeerTransport>("peers"),
+                 Services.find<Forwarder>("forwarder").allowance(),
+                 droppedLogLines()},
+                TheLoop.now(), Services.find<Metrics>("metrics"));
   Received->reply({200,
                    {{"Content-Type", "text/plain; version=0.0.4"}},
                    Services.find<Metrics>("metrics").text()});
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -15,6 +15,10 @@
 
 namespace cyclamenwind {
 
+// After this a call to the platform has no answer. One takes 4 ms, and 200 ms
+// while the platform is slow.
+inline constexpr Duration PlatformCallTimeout = 1s;
+
 // What the outside speaks; all of it outlives the daemon.
 struct MeshAdapters {
   const WireFormat &Format;
--- /dev/null
+++ b/cyclamenwind/mesh/mesh_gauges.h
@@ -0,0 +1,27 @@
+// Gauges of the mesh, read from the daemon's state when metrics are asked for.
+
+#ifndef CYCLAMENWIND_MESH_MESH_GAUGES_H
+#define CYCLAMENWIND_MESH_MESH_GAUGES_H
+
+#include "cyclamenwind/mesh/mesh_state.h"
+#include "cyclamenwind/mesh/retry_allowance.h"
+#include "cyclamenwind/mesh/store_sync.h"
+#include "cyclamenwind/operators/metrics.h"
+#include "cyclamenwind/peer/transport.h"
+
+namespace cyclamenwind {
+
+struct MeshView {
+  const MeshState &State;
+  const StoreSync &Store;
+  const PeerTransport &Peers;
+  RetryAllowance &Allowance;
+  uint64_t DroppedLogLines = 0;
+};
+
+// Sets all gauges that docs/METRICS.md lists for the mesh daemon.
+void setMeshGauges(const MeshView &View, TimePoint Now, Metrics &Target);
+
+} // namespace cyclamenwind
+
+#endif
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -13,6 +13,8 @@
                              {"routes", Config.Routes.size()}});
   Routes = std::make_shared<const RouteTable>(std::move(Config));
   ConfigText = std::move(Text);
+  if (Time != nullptr)
+    AppliedAt = Time->now();
   for (const auto &Each : ConfigHandlers)
     Each();
   return true;
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -21,12 +21,15 @@
 class MeshState final : public Service {
 public:
   std::string_view name() const override { return "mesh_state"; }
-  void start(Kernel &) override {}
+  void start(Kernel &Host) override { Time = &Host.clock(); }
 
   // Null before a configuration is known.
   const RouteTablePtr &routes() const { return Routes; }
   uint64_t configRevision() const { return Routes ? Routes->revision() : 0; }
 
+  // When it was applied.
+  TimePoint configAppliedAt() const { return AppliedAt; }
+
   // The configuration as the platform keeps it, for peers.
   const std::string &configText() const { return ConfigText; }
 
@@ -79,7 +82,9 @@
   void tellKnown();
   void merged(const MeshEndpoint &Record);
 
+  Clock *Time = nullptr;
   RouteTablePtr Routes;
+  TimePoint AppliedAt;
   std::string ConfigText;
   Directory Servers;
   RolloutBook Rollouts;
--- a/cyclamenwind/mesh/retry_allowance.cpp
+++ b/cyclamenwind/mesh/retry_allowance.cpp
@@ -36,13 +36,24 @@
   ++current(Service, Now).First[0];
 }
 
+// All that may be repeated, by this daemon's share.
+double RetryAllowance::room(const Counts &Entry, size_t Daemons) const {
+  double Share =
+      Options.Extra / static_cast<double>(std::max<size_t>(1, Daemons));
+  return Options.Ratio * sum(Entry.First) + Share;
+}
+
+int RetryAllowance::left(const std::string &Service, size_t Daemons,
+                         TimePoint Now) {
+  Counts &Entry = current(Service, Now);
+  double Left = SpentShare * room(Entry, Daemons) - sum(Entry.Repeats);
+  return std::max(0, static_cast<int>(Left));
+}
+
 bool RetryAllowance::takeRepeat(const std::string &Service, bool Ran,
                                 size_t Daemons, TimePoint Now) {
   Counts &Entry = current(Service, Now);
-  int First = sum(Entry.First);
-  double Share =
-      Options.Extra / static_cast<double>(std::max<size_t>(1, Daemons));
-  double Room = Options.Ratio * First + Share;
+  double Room = room(Entry, Daemons);
   if (sum(Entry.Repeats) + 1 > SpentShare * Room ||
       (Ran && sum(Entry.RunRepeats) + 1 > RunShare * Room))
     return false;
--- a/cyclamenwind/mesh/retry_allowance.h
+++ b/cyclamenwind/mesh/retry_allowance.h
@@ -37,6 +37,9 @@
   bool takeRepeat(const std::string &Service, bool Ran, size_t Daemons,
                   TimePoint Now);
 
+  // Repeats of requests that no server has run for which there is room now.
+  int left(const std::string &Service, size_t Daemons, TimePoint Now);
+
 private:
   static constexpr int Steps = 5;
   struct Counts {
@@ -46,6 +49,7 @@
     std::array<int, Steps> RunRepeats = {}; // Of Repeats.
   };
 
+  double room(const Counts &Entry, size_t Daemons) const;
   Counts &current(const std::string &Service, TimePoint Now);
 
   RetryAllowanceOptions Options;
--- a/cyclamenwind/operators/metrics.cpp
+++ b/cyclamenwind/operators/metrics.cpp
@@ -49,6 +49,17 @@
       .Observe(secondsOf(Taken));
 }
 
+void Metrics::setGauge(const std::string &Name, const std::string &Help,
+                       const std::map<std::string, std::string> &Labels,
+                       double Value) {
+  prometheus::BuildGauge()
+      .Name(Name)
+      .Help(Help)
+      .Register(Registry)
+      .Add(Labels)
+      .Set(Value);
+}
+
 void Metrics::countCall(const std::string &Route, CallEnd End,
                         CallReason Reason) {
   Calls
--- a/cyclamenwind/operators/metrics.h
+++ b/cyclamenwind/operators/metrics.h
@@ -49,6 +49,11 @@
     ConfigVersion.Set(static_cast<double>(Version));
   }
 
+  // Sets the gauge called Name, one of those that are listed in docs/METRICS.md
+  // as read when they are asked for. Help describes it at its first use.
+  void setGauge(const std::string &Name, const std::string &Help,
+                const std::map<std::string, std::string> &Labels, double Value);
+
   // All metrics in Prometheus text format.
   std::string text() const;
 
--- a/daemon/mesh_main.cpp
+++ b/daemon/mesh_main.cpp
@@ -28,8 +28,6 @@
 
 enum ExitStatus { Ended = 0, AddressInUse = 1, BadUsage = 2, BadSettings = 3 };
 
-constexpr Duration PlatformTimeout = 2s;
-
 void reload(MeshDaemon &Running, const std::string &File) {
   Result<HostSettings, platform::SettingsProblem> Loaded =
       platform::loadSettings(File);
@@ -46,9 +44,9 @@
   platform::Objects Codec;
   MeshAdapters Adapters{Format, Codec, platform::answerReport,
                         platform::names::ReadyPath};
-  MeshDaemon Running(
-      TheLoop, Settings, Adapters,
-      platform::makeStoreClient(TheLoop, Settings.Platform, PlatformTimeout));
+  MeshDaemon Running(TheLoop, Settings, Adapters,
+                     platform::makeStoreClient(TheLoop, Settings.Platform,
+                                               PlatformCallTimeout));
   if (std::optional<Address> InUse = Running.start()) {
     std::cerr << "error=address_in_use address=" << InUse->text() << "\n";
     return AddressInUse;
