Stopping daemons are used while no other server is ready; early pull at the start

Change: without a ready server those that are unreachable are used; a daemon without a configuration looks for a linked peer every 100 ms.

Tests: mesh_forward_test "planned stops overlap", mesh_store_sync_test "a daemon that starts while the platform is silent".

--- a/cyclamenwind/mesh/directory.cpp
+++ b/cyclamenwind/mesh/directory.cpp
@@ -50,14 +50,25 @@
 }
 
 std::vector<const MeshEndpoint *>
-Directory::ready(const std::string &Service) const {
+Directory::inState(const std::string &Service, EndpointState State) const {
   std::vector<const MeshEndpoint *> Result;
   for (const auto &[Id, Each] : Endpoints)
-    if (Each.Service == Service && Each.State == EndpointState::Ready)
+    if (Each.Service == Service && Each.State == State)
       Result.push_back(&Each);
   return Result;
 }
 
+std::vector<const MeshEndpoint *>
+Directory::ready(const std::string &Service) const {
+  return inState(Service, EndpointState::Ready);
+}
+
+std::vector<const MeshEndpoint *>
+Directory::usable(const std::string &Service) const {
+  std::vector<const MeshEndpoint *> Ready = ready(Service);
+  return Ready.empty() ? inState(Service, EndpointState::Unreachable) : Ready;
+}
+
 std::vector<Address> Directory::gates() const {
   std::set<Address> Result;
   for (const auto &[Id, Each] : Endpoints)
--- a/cyclamenwind/mesh/directory.h
+++ b/cyclamenwind/mesh/directory.h
@@ -37,6 +37,10 @@
   // All servers of Service that are Ready.
   std::vector<const MeshEndpoint *> ready(const std::string &Service) const;
 
+  // Those that requests may be sent to: the Ready ones, or if there is none the
+  // Unreachable ones. A daemon that stops goes on serving for a while.
+  std::vector<const MeshEndpoint *> usable(const std::string &Service) const;
+
   const std::map<std::string, MeshEndpoint> &all() const { return Endpoints; }
 
   // The addresses of all daemons that a live record names.
@@ -44,6 +48,8 @@
 
 private:
   bool take(const MeshEndpoint &Record);
+  std::vector<const MeshEndpoint *> inState(const std::string &Service,
+                                            EndpointState State) const;
 
   std::map<std::string, MeshEndpoint> Endpoints;
 };
--- a/cyclamenwind/mesh/forwarder.cpp
+++ b/cyclamenwind/mesh/forwarder.cpp
@@ -142,7 +142,7 @@
     Allowance.countFirst(Chosen.Service, Now);
   }
   std::vector<const MeshEndpoint *> Eligible = State->rollouts().eligible(
-      Chosen.Service, State->directory().ready(Chosen.Service), *Dice);
+      Chosen.Service, State->directory().usable(Chosen.Service), *Dice);
   return Chooser->choose(reachable(Eligible), Chosen.Tried,
                          Chosen.Route->Objective, Now);
 }
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration TickPeriod = 1s;
+// How often a daemon without a configuration looks for a peer that can tell it;
+// meanwhile it refuses everything.
+constexpr Duration StartPeriod = 100ms;
 // The platform's own word on a newer configuration is waited for this long: it
 // comes within the pause between two waits for changes (0.7 s). Configuration
 // has to be in force two seconds after it was accepted.
@@ -45,10 +48,23 @@
   State->onBehind([this](const Address &Peer) { behind(Peer); });
   LastTick = TrustedFrom = Time->now();
   Ticker = Timers->every(TickPeriod, [this] { tick(); });
+  StartTicker = Timers->every(StartPeriod, [this] { askAtStart(); });
+}
+
+void PeerSync::askAtStart() {
+  if (State->configRevision() != 0) {
+    StartTicker.reset();
+    return;
+  }
+  std::vector<Address> Linked = Peers->linked();
+  if (Linked.empty() || Store->configReachable())
+    return;
+  pull(Linked[Dice->below(Linked.size())]);
 }
 
 void PeerSync::stop() {
   Ticker.reset();
+  StartTicker.reset();
   BehindTimer.reset();
 }
 
--- a/cyclamenwind/mesh/peer_sync.h
+++ b/cyclamenwind/mesh/peer_sync.h
@@ -42,6 +42,7 @@
   void pull(const Address &From);
   void behind(const Address &Peer);
   void tick();
+  void askAtStart();
   void keepContact();
   void contact(const Address &Daemon);
   std::vector<Address> pullCandidates() const;
@@ -58,6 +59,7 @@
   TimePoint LastTick;
   TimePoint TrustedFrom; // Silence before this may be this process's own.
   TimerHandle Ticker;
+  TimerHandle StartTicker;
   TimerHandle BehindTimer;
 };
 
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -545,6 +545,27 @@
   CHECK(Peer.State->merge(Stored));
 }
 
+TEST_CASE("planned stops overlap: a service whose daemons all stop is served "
+          "while they still take requests") {
+  Mesh Running(2);
+  Running.report(0, 5);
+  Running.report(1, 5);
+  Running.Daemons[0].Reports->announceStopping();
+  Running.Daemons[1].Reports->announceStopping();
+  Running.Time.advance(10ms);
+  REQUIRE(Running.Daemons[0].State->directory().ready("quote").empty());
+  auto Received = Running.request("/read/1");
+  Running.Time.advance(100ms);
+  REQUIRE(Received->Answer);
+  CHECK(Received->Answer->Status == 200);
+  for (Mesh::Daemon &Each : Running.Daemons)
+    Each.TheGate->refuseNew();
+  Received = Running.request("/read/2");
+  Running.Time.advance(100ms);
+  REQUIRE(Received->Answer);
+  CHECK(Received->Answer->Status == 503);
+}
+
 TEST_CASE("a leaving server is acknowledged in time though the platform does "
           "not answer") {
   Mesh Running(1);
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -318,6 +318,19 @@
   CHECK(Two->State->directory().ready("quote").size() == 1);
 }
 
+TEST_CASE("a daemon that starts while the platform is silent asks the first "
+          "peer that is linked") {
+  Bench Running;
+  auto One = Running.daemon("10.0.0.1");
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(1s);
+  Running.Platform.setSilent(true);
+  auto Two = Running.daemon("10.0.0.2");
+  Running.Time.advance(250ms);
+  REQUIRE(Two->State->routes());
+  CHECK(Two->State->routes()->config().Version == 1);
+}
+
 TEST_CASE("records are stored once and found by new daemons") {
   Bench Running;
   auto One = Running.daemon("10.0.0.1");
