--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -83,7 +83,17 @@
   Requests.clear();
 }
 
+// Servers that left have new ids when they come back.
+void Gate::forgetGone(const std::string &Except) {
+  std::erase_if(Beside, [&Except](const auto &Entry) {
+    const Server &Each = Entry.second;
+    return Entry.first != Except && Each.Record.State == EndpointState::Gone &&
+           Each.Queue.running() == 0 && Each.Queue.queued() == 0;
+  });
+}
+
 void Gate::serverChanged(const MeshEndpoint &Record) {
+  forgetGone(Record.Id);
   auto [Position, IsNew] = Beside.emplace(
       Record.Id, Server{Record, GateQueue(Record.Slots), {}, {}, false});
   Server &Changed = Position->second;
--- a/cyclamenwind/mesh/gate.h
+++ b/cyclamenwind/mesh/gate.h
@@ -83,6 +83,9 @@
 
   size_t active() const { return Requests.size(); }
 
+  // Servers that this remembers.
+  size_t servers() const { return Beside.size(); }
+
   // Outcomes of each version beside this daemon, for rollouts.
   VersionOutcomes &outcomes() { return Outcomes; }
 
@@ -116,6 +119,7 @@
   void receiveCancel(const Address &From, std::string_view Payload);
   void linkDown(const Address &Peer, LinkEnd End);
   void abandonPeer(const Address &Peer);
+  void forgetGone(const std::string &Except);
   Server *serverFor(const wire::ForwardRequest &Message);
   GateReason admissible(const Server *Target, TimePoint Now) const;
   void run(GateTicket Ticket);
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -187,6 +187,13 @@
 }
 
 void PeerSync::keepContact() {
+  // Those of servers that left count for removeDead().
+  std::set<Address> Named;
+  for (const auto &[Id, Each] : State->directory().all())
+    Named.insert(Each.Gate);
+  std::erase_if(Contacts, [&Named](const auto &Entry) {
+    return Named.count(Entry.first) == 0;
+  });
   for (const Address &Each : State->directory().gates())
     contact(Each);
 }
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -248,6 +248,11 @@
   std::erase_if(LeftUnknown, [Now](const auto &Entry) {
     return Now - Entry.second >= ReportDelayLimit;
   });
+  // The directory keeps those that left for longer than a report may be late.
+  std::erase_if(Servers, [this](const auto &Entry) {
+    return Entry.second.Record.State == EndpointState::Gone &&
+           State->directory().find(Entry.first) == nullptr;
+  });
   if (WasPaused)
     return;
   for (auto &[Id, Each] : Servers) {
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -566,6 +566,24 @@
   CHECK(Received->Answer->Status == 503);
 }
 
+TEST_CASE("a month of releases: servers that left are forgotten") {
+  Mesh Running(1);
+  Mesh::Daemon &Only = Running.Daemons[0];
+  for (int I = 10; I < 60; ++I) {
+    ServerReport Next = Running.reportOf(0, 1);
+    Next.Id = "i-" + std::to_string(I);
+    Next.Born = 1000 * I;
+    Only.Reports->report(Next, [] {});
+    Running.Time.advance(1s);
+    auto Received = Running.request("/read/1");
+    Running.Time.advance(1s);
+    REQUIRE(Received->Answer);
+    CHECK(Received->Answer->Status == 200);
+    Only.Reports->leave(Next.Id, Next.Born, [] {});
+  }
+  CHECK(Only.TheGate->servers() <= 2);
+}
+
 TEST_CASE("a leaving server is acknowledged in time though the platform does "
           "not answer") {
   Mesh Running(1);
