Large blocks of memory go back to the system when they are freed

Cause: texts of configurations and answers of a hundred kilobytes stay in the heap of a process that is priced by its peak.

Change: blocks above 32 KiB are mapped apart and returned.

--- a/daemon/mesh_main.cpp
+++ b/daemon/mesh_main.cpp
@@ -19,6 +19,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 #include <boost/program_options.hpp>
 
 namespace {
@@ -37,6 +39,10 @@
     logError("settings_rejected", {{"message", Loaded.error().text()}});
 }
 
+// Texts of configurations and answers are large and short-lived: blocks above
+// this size are returned to the system when they are freed.
+constexpr int LargeBlockBytes = 32 * 1024;
+
 ExitStatus runDaemon(const HostSettings &Settings, const std::string &File) {
   startBoundedLog(LogLevel::Debug, Settings.Name);
   Loop TheLoop;
@@ -103,6 +109,8 @@
     std::cout << "settings: ok\n";
     return Ended;
   }
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
   ExitStatus Status = runDaemon(Loaded.value(), File);
   // Threads of the logging library may not end in time on a host that is short
   // of processor time; nothing of theirs is needed any more.
