--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -64,6 +64,10 @@
 }
 
 void ConfigRelay::tick() {
+  TimePoint Now = Time->now();
+  std::erase_if(Heard, [Now](const auto &Entry) {
+    return Now - Entry.second >= RelayPatience;
+  });
   if (relaysNow())
     push("", 0);
 }
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -83,7 +83,7 @@
   Requests.clear();
 }
 
-// Servers that left have new ids when they come back.
+// One that comes back is a new incarnation and reports anew.
 void Gate::forgetGone(const std::string &Except) {
   std::erase_if(Beside, [&Except](const auto &Entry) {
     const Server &Each = Entry.second;
--- a/cyclamenwind/mesh/mesh_gauges.cpp
+++ b/cyclamenwind/mesh/mesh_gauges.cpp
@@ -1,6 +1,5 @@
 #include "cyclamenwind/mesh/mesh_gauges.h"
 
-#include <array>
 #include <set>
 
 namespace cyclamenwind {
--- a/cyclamenwind/mesh/mesh_gauges.h
+++ b/cyclamenwind/mesh/mesh_gauges.h
@@ -11,6 +11,7 @@
 
 namespace cyclamenwind {
 
+// What the gauges are read from.
 struct MeshView {
   const MeshState &State;
   const StoreSync &Store;
