A gauge that says no more than is known; patches start from the text in force

Reading the change again: a daemon whose configuration comes from relays makes no calls for it, so cyclamenwind_platform_reachable showed what the last one found, however old; it now needs the last call for records too. Relays kept a second copy of the configuration as the base of patches; the state hands the one it replaces to its listeners. One set-up of a fleet in mesh_store_sync_test, and a test's name said 'freeze' of relays that are cut off.

--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -25,7 +25,10 @@
                 [this](const Address &From, std::string_view Payload) {
                   receive(From, Payload);
                 });
-  State->onConfig([this] { configChanged(); });
+  State->onConfigReplaced(
+      [this](uint64_t PreviousRevision, std::string_view PreviousText) {
+        configChanged(PreviousRevision, PreviousText);
+      });
   Store->ConfigIsRelayed = [this] { return heardWithin(RelayPatience); };
   Ticker = Host.scheduler().every(SayPeriod, [this] { tick(); });
 }
@@ -49,18 +52,14 @@
   return Store->isRelay() && Store->configReachable();
 }
 
-void ConfigRelay::configChanged() {
-  if (!relaysNow()) {
-    BaseText.clear();
-    BaseRevision = 0;
+void ConfigRelay::configChanged(uint64_t PreviousRevision,
+                                std::string_view PreviousText) {
+  if (!relaysNow())
     return;
-  }
   std::string Patch;
-  if (BaseRevision != 0 && !heardEarlierRelay())
-    Patch = makePatch(BaseText, State->configText());
-  push(Patch, BaseRevision);
-  BaseText = State->configText();
-  BaseRevision = State->configRevision();
+  if (PreviousRevision != 0 && !heardEarlierRelay())
+    Patch = makePatch(PreviousText, State->configText());
+  push(Patch, PreviousRevision);
 }
 
 void ConfigRelay::tick() {
@@ -72,10 +71,10 @@
     push("", 0);
 }
 
-void ConfigRelay::push(const std::string &Patch, uint64_t From) {
+void ConfigRelay::push(const std::string &Patch, uint64_t BaseRevision) {
   wire::ConfigPush Message;
   Message.revision = static_cast<int64_t>(State->configRevision());
-  Message.baseRevision = static_cast<int64_t>(From);
+  Message.baseRevision = static_cast<int64_t>(BaseRevision);
   Message.patch = Patch;
   std::string Payload = encodeMessage(Message);
   for (const Address &Each : Store->domainGates())
--- a/cyclamenwind/mesh/config_relay.h
+++ b/cyclamenwind/mesh/config_relay.h
@@ -27,9 +27,9 @@
   void stop() override { Ticker.reset(); }
 
 private:
-  void configChanged();
+  void configChanged(uint64_t PreviousRevision, std::string_view PreviousText);
   void tick();
-  void push(const std::string &Patch, uint64_t From);
+  void push(const std::string &Patch, uint64_t BaseRevision);
   void receive(const Address &From, std::string_view Payload);
   bool relaysNow() const;
   bool heardWithin(Duration Span) const;
@@ -42,9 +42,6 @@
   PeerTransport *Peers = nullptr;
   // When each relay of this failure domain was last heard of.
   std::map<Address, TimePoint> Heard;
-  // What a patch starts from; kept by relays only.
-  std::string BaseText;
-  uint64_t BaseRevision = 0;
   TimerHandle Ticker;
 };
 
--- a/cyclamenwind/mesh/mesh_gauges.cpp
+++ b/cyclamenwind/mesh/mesh_gauges.cpp
@@ -70,8 +70,8 @@
   Target.setGauge("cyclamenwind_peers_linked", "Daemons with a stream.", {},
                   static_cast<double>(View.Peers.linked().size()));
   Target.setGauge("cyclamenwind_platform_reachable",
-                  "1 while the platform answers.", {},
-                  View.Store.configReachable() ? 1 : 0);
+                  "1 if the platform answered the last calls.", {},
+                  View.Store.reachable() ? 1 : 0);
   Target.setGauge("cyclamenwind_relay",
                   "1 if this daemon is a relay of its failure domain.", {},
                   View.Store.isRelay() ? 1 : 0);
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -2,6 +2,8 @@
 
 #include "cyclamenwind/base/log.h"
 
+#include <utility>
+
 namespace cyclamenwind {
 
 bool MeshState::apply(MeshConfig Config, std::string Text) {
@@ -11,12 +13,15 @@
                              {"version", Config.Version},
                              {"previous", configRevision()},
                              {"routes", Config.Routes.size()}});
+  uint64_t PreviousRevision = configRevision();
+  std::string PreviousText = std::exchange(ConfigText, std::move(Text));
   Routes = std::make_shared<const RouteTable>(std::move(Config));
-  ConfigText = std::move(Text);
   if (Time != nullptr)
     AppliedAt = Time->now();
   for (const auto &Each : ConfigHandlers)
     Each();
+  for (const auto &Each : ReplacedHandlers)
+    Each(PreviousRevision, PreviousText);
   return true;
 }
 
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -74,6 +74,12 @@
   void onConfig(std::function<void()> Handler) {
     ConfigHandlers.push_back(std::move(Handler));
   }
+  // The same with the configuration that was in force before; 0 if none was.
+  void onConfigReplaced(std::function<void(uint64_t PreviousRevision,
+                                           std::string_view PreviousText)>
+                            Handler) {
+    ReplacedHandlers.push_back(std::move(Handler));
+  }
   void onEndpoint(std::function<void(const MeshEndpoint &)> Handler) {
     EndpointHandlers.push_back(std::move(Handler));
   }
@@ -94,6 +100,7 @@
   std::vector<std::function<void()>> KnownHandlers;
   std::vector<std::function<void(const Address &)>> BehindHandlers;
   std::vector<std::function<void()>> ConfigHandlers;
+  std::vector<std::function<void(uint64_t, std::string_view)>> ReplacedHandlers;
   std::vector<std::function<void(const MeshEndpoint &)>> EndpointHandlers;
 };
 
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -168,7 +168,7 @@
   LastTick = Now;
   keepContact();
   removeDead(Now);
-  if (Store->configReachable() && Store->endpointsReachable())
+  if (Store->reachable())
     return;
   std::vector<Address> Candidates = pullCandidates();
   if (!Candidates.empty())
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -92,6 +92,10 @@
     return EndpointWatch && EndpointWatch->reachable();
   }
 
+  // Whether the last calls for both were answered. A daemon whose configuration
+  // comes from relays makes calls for records only.
+  bool reachable() const { return configReachable() && endpointsReachable(); }
+
 private:
   // One record of a server beside this daemon.
   struct Publication {
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -76,6 +76,20 @@
     return std::make_unique<Daemon>(Time, Platform, Network, Host);
   }
 
+  // Daemons of one failure domain, started in turn, each with a server.
+  std::vector<std::unique_ptr<Daemon>> fleet(int Count) {
+    std::vector<std::unique_ptr<Daemon>> Daemons;
+    for (int I = 1; I <= Count; ++I) {
+      std::string Host = "10.0.0." + std::to_string(I);
+      Daemons.push_back(daemon(Host));
+      MeshEndpoint Own = server("i-" + std::to_string(I), 1);
+      Own.Gate.Host = Own.Server.Host = Host;
+      Daemons.back()->Store->publish(Own, [](bool) {});
+      Time.advance(100ms);
+    }
+    return Daemons;
+  }
+
   // Writes as the operator does.
   void operatorWrites(const std::string &Key, const std::string &Value) {
     Result<PlatformObject, PlatformError> Old = Platform.Store.read(Key);
@@ -108,14 +122,7 @@
 TEST_CASE("many hosts: a few wait for changes, all have them in force in two "
           "seconds") {
   Bench Running;
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  for (int I = 1; I <= 9; ++I) {
-    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
-    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
-    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
-    Daemons.back()->Store->publish(Own, [](bool) {});
-    Running.Time.advance(100ms);
-  }
+  auto Daemons = Running.fleet(9);
   Running.Time.advance(70s);
   // Late watches show nothing in the next seconds.
   Running.Platform.StaleShowsChanges = false;
@@ -134,14 +141,7 @@
 TEST_CASE("configuration storm: only relays ask the platform, and all have the "
           "last one in two seconds though a relay is killed") {
   Bench Running;
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  for (int I = 1; I <= 9; ++I) {
-    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
-    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
-    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
-    Daemons.back()->Store->publish(Own, [](bool) {});
-    Running.Time.advance(100ms);
-  }
+  auto Daemons = Running.fleet(9);
   Running.operatorWrites("config/main", configText(1));
   Running.Time.advance(8s);
   Running.operatorWrites("config/main", configText(2));
@@ -164,18 +164,10 @@
     CHECK(Each->State->routes()->config().Version == Version);
 }
 
-TEST_CASE(
-    "both relays of a failure domain freeze: its daemons ask the platform "
-    "themselves once they hear of no relay") {
+TEST_CASE("both relays are cut off from the platform: the others ask it "
+          "themselves once they hear of no relay") {
   Bench Running;
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  for (int I = 1; I <= 5; ++I) {
-    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
-    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
-    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
-    Daemons.back()->Store->publish(Own, [](bool) {});
-    Running.Time.advance(100ms);
-  }
+  auto Daemons = Running.fleet(5);
   Running.operatorWrites("config/main", configText(1));
   Running.Time.advance(8s);
   Running.operatorWrites("config/main", configText(2));
@@ -209,14 +201,7 @@
 
 TEST_CASE("a rollout that only relays see reaches all daemons") {
   Bench Running;
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  for (int I = 1; I <= 5; ++I) {
-    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
-    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
-    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
-    Daemons.back()->Store->publish(Own, [](bool) {});
-    Running.Time.advance(100ms);
-  }
+  auto Daemons = Running.fleet(5);
   Running.Time.advance(20s);
   Running.operatorWrites(
       "rollouts/quote",
@@ -254,14 +239,7 @@
 TEST_CASE("a silent outage swallows waiting calls: changes after it are in "
           "force in time") {
   Bench Running;
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  for (int I = 1; I <= 9; ++I) {
-    Daemons.push_back(Running.daemon("10.0.0." + std::to_string(I)));
-    MeshEndpoint Own = server("i-" + std::to_string(I), 1);
-    Own.Gate.Host = Own.Server.Host = "10.0.0." + std::to_string(I);
-    Daemons.back()->Store->publish(Own, [](bool) {});
-    Running.Time.advance(100ms);
-  }
+  auto Daemons = Running.fleet(9);
   Running.operatorWrites("config/main", configText(1));
   Running.Time.advance(35s); // All have begun a new wait.
   Running.Platform.setSilent(true);
