A step of a rollout loads a few new servers fully, not all of them a little

The version was bad under load only. The steps of 5, 8 and 25 % spread over 24 new servers, none of which was loaded enough to show it; it showed at 55 %, where 1.7 s used up what the version may get (848 of 6,024 requests, 652 allowed).

Change: the share goes to as many new servers as it loads like all requests load all of them, the same on every daemon.

Test: mesh_rollout_test "bad under load", which fails without the change.

--- a/cyclamenwind/mesh/rollout.cpp
+++ b/cyclamenwind/mesh/rollout.cpp
@@ -3,6 +3,7 @@
 #include "cyclamenwind/base/names.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenwind {
 namespace {
@@ -45,6 +46,18 @@
   return Share;
 }
 
+// The servers that Share of the requests goes to: as many as that share of all
+// requests loads like all requests load all of Servers, so that a fault under
+// load shows while the share is small. The same on every daemon, since Servers
+// are in the order of their ids.
+std::vector<const MeshEndpoint *>
+serversFor(double Share, std::vector<const MeshEndpoint *> Servers) {
+  auto Count = static_cast<size_t>(
+      std::ceil(Share * static_cast<double>(Servers.size())));
+  Servers.resize(std::clamp<size_t>(Count, 1, Servers.size()));
+  return Servers;
+}
+
 } // namespace
 
 std::string_view nameOf(RolloutState State) {
@@ -183,7 +196,7 @@
   // Old servers are a way out while they run; a version under test is not.
   if (Old.empty())
     return Present->Recorded->Share >= 1 ? New : Old;
-  return ToNew ? New : Old;
+  return ToNew ? serversFor(Present->Recorded->Share, std::move(New)) : Old;
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/rollout.h
+++ b/cyclamenwind/mesh/rollout.h
@@ -84,7 +84,8 @@
   bool allowed(const std::string &Service, const std::string &Version) const;
 
   // Those of Ready, a service's servers, that a request may go to now. Dice
-  // splits the requests between the versions of a running rollout.
+  // splits the requests between the versions of a running rollout. Ready is in
+  // the order of ids.
   std::vector<const MeshEndpoint *>
   eligible(const std::string &Service,
            const std::vector<const MeshEndpoint *> &Ready, Random &Dice) const;
--- a/tests/mesh_rollout_test.cpp
+++ b/tests/mesh_rollout_test.cpp
@@ -146,6 +146,46 @@
   CHECK(Only() == "new");
 }
 
+// A fault that shows only at a server's usual load has to show while few
+// requests go to the version.
+TEST_CASE(
+    "bad under load: a small share loads a few new servers as much as all "
+    "requests would load all of them") {
+  std::vector<MeshEndpoint> Servers;
+  for (int I = 0; I < 48; ++I)
+    Servers.push_back(server("i-" + std::to_string(I), I < 24 ? "v1" : "v2",
+                             I < 24 ? 100 : 200));
+  std::vector<const MeshEndpoint *> Ready;
+  for (const MeshEndpoint &Each : Servers)
+    Ready.push_back(&Each);
+  for (double Share : {0.05, 0.08, 0.25, 0.55, 1.0}) {
+    // Daemons that draw differently load the same servers.
+    std::map<std::string, int> Requests;
+    constexpr int Sent = 24000;
+    for (uint64_t Daemon = 1; Daemon <= 6; ++Daemon) {
+      RolloutBook Book;
+      Random Dice(Daemon);
+      Book.update(Order, RolloutStatus{RolloutState::Running, "v2", Share, 2s},
+                  2, Start);
+      for (int I = 0; I < Sent / 6; ++I) {
+        std::vector<const MeshEndpoint *> Chosen =
+            Book.eligible("quote", Ready, Dice);
+        if (Chosen.front()->Version == "v2")
+          ++Requests[Chosen[size_t(I) % Chosen.size()]->Id];
+      }
+    }
+    INFO("share " << Share);
+    int Total = 0;
+    for (const auto &[Id, Count] : Requests) {
+      Total += Count;
+      // All requests to all 24 would be 1,000 each.
+      CHECK(Count >= 500);
+      CHECK(Count <= 1150);
+    }
+    CHECK(Total == Approx(Share * Sent).epsilon(0.1));
+  }
+}
+
 TEST_CASE("a version that this daemon saw to be bad gets nothing more") {
   RolloutBook Book;
   Random Dice(3);
