--- a/cyclamenwind/mesh/chooser.cpp
+++ b/cyclamenwind/mesh/chooser.cpp
@@ -63,13 +63,6 @@
   return Best;
 }
 
-bool EndpointChooser::allUnreachable(
-    const std::vector<const MeshEndpoint *> &Candidates, TimePoint Now) const {
-  return std::all_of(
-      Candidates.begin(), Candidates.end(),
-      [&](const MeshEndpoint *Each) { return avoided(Each->Id, Now); });
-}
-
 bool EndpointChooser::avoided(const std::string &Id, TimePoint Now) const {
   auto Found = States.find(Id);
   return Found != States.end() && Now < Found->second.AvoidUntil;
--- a/cyclamenwind/mesh/chooser.h
+++ b/cyclamenwind/mesh/chooser.h
@@ -40,10 +40,6 @@
   choose(const std::vector<const MeshEndpoint *> &Candidates,
          const std::set<std::string> &Tried, Duration Objective, TimePoint Now);
 
-  // Whether all of Candidates are known not to take requests at Now.
-  bool allUnreachable(const std::vector<const MeshEndpoint *> &Candidates,
-                      TimePoint Now) const;
-
   // A request was sent to Id, or has ended there.
   void began(const std::string &Id) { ++States[Id].Outstanding; }
   void ended(const std::string &Id);
--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // How often relays say which revision they have.
-constexpr Duration SayPeriod = 2s;
+constexpr Duration AnnouncePeriod = 2s;
 // A relay that was not heard of for two periods and some delay is not counted
 // on: configuration has to be in force two seconds after it was accepted.
 constexpr Duration RelayPatience = 4500ms;
@@ -30,7 +30,7 @@
         configChanged(PreviousRevision, PreviousText);
       });
   Store->ConfigIsRelayed = [this] { return heardWithin(RelayPatience); };
-  Ticker = Host.scheduler().every(SayPeriod, [this] { tick(); });
+  Ticker = Host.scheduler().every(AnnouncePeriod, [this] { tick(); });
 }
 
 bool ConfigRelay::heardWithin(Duration Span) const {
@@ -112,7 +112,7 @@
     State->heardRevision(From, Revision);
     return;
   }
-  Store->configTold(Revision);
+  Store->configPushed(Revision);
   State->apply(std::move(*Config), std::move(*Text));
 }
 
--- a/cyclamenwind/mesh/directory.cpp
+++ b/cyclamenwind/mesh/directory.cpp
@@ -10,10 +10,10 @@
   bool Known = Found != Endpoints.end();
   if (Known && !Record.supersedes(Found->second))
     return false;
-  bool Hearsay = Known && Record.State == EndpointState::Unreachable &&
-                 Found->second.State == EndpointState::Ready &&
-                 Found->second.Born == Record.Born;
-  return !Hearsay && take(Record);
+  bool SecondHand = Known && Record.State == EndpointState::Unreachable &&
+                    Found->second.State == EndpointState::Ready &&
+                    Found->second.Born == Record.Born;
+  return !SecondHand && take(Record);
 }
 
 bool Directory::mergeFromGate(const MeshEndpoint &Record) {
--- a/cyclamenwind/mesh/gate.cpp
+++ b/cyclamenwind/mesh/gate.cpp
@@ -119,8 +119,8 @@
     refuse(Each, GateReason::NoServer, /*Arrived=*/false);
 }
 
-void Gate::askHealth(const MeshEndpoint &Record, const std::string &Path,
-                     std::function<void(bool)> Done) {
+void Gate::checkHealth(const MeshEndpoint &Record, const std::string &Path,
+                       std::function<void(bool)> Done) {
   GateTicket Ticket = NextTicket++;
   auto Finish = [this, Ticket, Id = Record.Id, Done = std::move(Done)](
                     Result<HttpResponse, HttpClientError> Outcome) {
@@ -129,7 +129,7 @@
     constexpr int Healthy = 200;
     bool Same = Outcome && Outcome.value().Status == Healthy &&
                 Format.readAnswer(Outcome.value()).InstanceId == Id;
-    logInfo("server_asked_health",
+    logInfo("server_health_checked",
             {{"server", Id},
              {"status", Outcome ? Outcome.value().Status : 0},
              {"healthy", int(Same)}});
--- a/cyclamenwind/mesh/gate.h
+++ b/cyclamenwind/mesh/gate.h
@@ -69,11 +69,11 @@
   // from within submit(). Returns a ticket for cancel().
   GateTicket submit(wire::ForwardRequest Request, ForwardDone Done);
 
-  // Asks the server of Record at Path whether it is healthy and does not leave.
-  // Done is told no if it does not say so, or is another server, and is never
+  // Checks at Path whether the server of Record is healthy and not leaving.
+  // Done gets false if it does not answer so or is another server, and is never
   // called from within.
-  void askHealth(const MeshEndpoint &Record, const std::string &Path,
-                 std::function<void(bool Healthy)> Done);
+  void checkHealth(const MeshEndpoint &Record, const std::string &Path,
+                   std::function<void(bool Healthy)> Done);
 
   // Gives a request up; Done is not called any more.
   void cancel(GateTicket Ticket);
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -52,18 +52,18 @@
 
 void MeshState::setListed() {
   Listed = true;
-  tellKnown();
+  notifyKnown();
 }
 
-void MeshState::setToldByPeer() {
-  ToldByPeer = true;
-  tellKnown();
+void MeshState::setPeerRecordsRead() {
+  PeerRecordsRead = true;
+  notifyKnown();
 }
 
-void MeshState::tellKnown() {
-  if (KnownTold)
+void MeshState::notifyKnown() {
+  if (KnownNotified)
     return;
-  KnownTold = true;
+  KnownNotified = true;
   for (const auto &Each : KnownHandlers)
     Each();
 }
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -48,8 +48,8 @@
   // platform or from a peer that has some.
   bool endpointsListed() const { return Listed; }
   void setListed();
-  bool endpointsKnown() const { return Listed || ToldByPeer; }
-  void setToldByPeer();
+  bool endpointsKnown() const { return Listed || PeerRecordsRead; }
+  void setPeerRecordsRead();
   // Called at the first of these.
   void onEndpointsKnown(std::function<void()> Handler) {
     KnownHandlers.push_back(std::move(Handler));
@@ -85,7 +85,7 @@
   }
 
 private:
-  void tellKnown();
+  void notifyKnown();
   void merged(const MeshEndpoint &Record);
 
   Clock *Time = nullptr;
@@ -95,8 +95,8 @@
   Directory Servers;
   RolloutBook Rollouts;
   bool Listed = false;
-  bool ToldByPeer = false;
-  bool KnownTold = false;
+  bool PeerRecordsRead = false;
+  bool KnownNotified = false;
   std::vector<std::function<void()>> KnownHandlers;
   std::vector<std::function<void(const Address &)>> BehindHandlers;
   std::vector<std::function<void()>> ConfigHandlers;
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -130,7 +130,7 @@
     if (std::optional<MeshEndpoint> Record = endpointOf(Each))
       State->merge(*Record);
   if (!Reply.endpoints.empty())
-    State->setToldByPeer();
+    State->setPeerRecordsRead();
 }
 
 void PeerSync::pull(const Address &From) {
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -35,7 +35,8 @@
     adoptRecorded();
   });
   State->onConfig([this] { adoptRecorded(); });
-  State->onEndpoint([this](const MeshEndpoint &Each) { learn(Each); });
+  State->onEndpoint(
+      [this](const MeshEndpoint &Each) { applyRemoteRecord(Each); });
   SilenceTimer = Timers->every(SilenceCheckPeriod, [this] { checkSilence(); });
 }
 
@@ -99,15 +100,15 @@
 
 // Others may know that a server beside this daemon leaves: an earlier process
 // of this daemon acknowledged it and told them.
-void Registry::learn(const MeshEndpoint &Record) {
+void Registry::applyRemoteRecord(const MeshEndpoint &Record) {
   if (Record.Gate != Options.Gate || Record.State <= EndpointState::Unreachable)
     return;
   Known &Entry = Servers[Record.Id];
   if (!Record.supersedes(Entry.Record))
     return;
-  logInfo("server_leaves_as_told", {{"server", Record.Id},
-                                    {"state", nameOf(Record.State)},
-                                    {"sequence", Record.Sequence}});
+  logInfo("server_leaving_learned", {{"server", Record.Id},
+                                     {"state", nameOf(Record.State)},
+                                     {"sequence", Record.Sequence}});
   Entry.Record = Record;
   TheGate->serverChanged(Record);
 }
@@ -127,7 +128,7 @@
     const MeshService *Of = State->routes()->service(Each.Service);
     if (Of == nullptr || Of->HealthPath.empty())
       continue;
-    TheGate->askHealth(Each, Of->HealthPath, [this, Each](bool Healthy) {
+    TheGate->checkHealth(Each, Of->HealthPath, [this, Each](bool Healthy) {
       if (Healthy)
         adopt(Each);
     });
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -77,7 +77,7 @@
   };
 
   bool isLater(const MeshEndpoint &Record) const;
-  void learn(const MeshEndpoint &Record);
+  void applyRemoteRecord(const MeshEndpoint &Record);
   void adoptRecorded();
   void adopt(MeshEndpoint Record);
   void retryHeldReports();
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -32,9 +32,9 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveRollout(From, Payload);
                 });
-  auto LostOne = [this](bool Reachable) {
+  auto OnReachability = [this](bool Reachable) {
     if (!Reachable)
-      doubtWaits();
+      revalidateWatches();
   };
   // While the platform is away only one watch asks for it.
   auto MayRetry = [this] { return !ConfigWatch->lost(); };
@@ -50,7 +50,7 @@
                           },
                           [this](bool Reachable) {
                             if (!Reachable) {
-                              doubtWaits();
+                              revalidateWatches();
                               return;
                             }
                             RolloutWatch->resume();
@@ -65,7 +65,7 @@
               takeRollout(Each);
           },
           [this](const PlatformChange &Change) { rolloutChanged(Change); },
-          LostOne, MayRetry});
+          OnReachability, MayRetry});
   EndpointWatch = std::make_unique<KindWatch>(
       Platform, *Timers, *Dice,
       following(Codec.endpointPrefix(), EndpointCollect, FollowMode::ListStale),
@@ -80,7 +80,7 @@
               announceEndpoint(Change.Object);
             }
           },
-          LostOne, MayRetry});
+          OnReachability, MayRetry});
   ConfigWatch->start();
   RolloutWatch->start();
   EndpointWatch->start();
@@ -93,7 +93,7 @@
   Options.Collect = ConfigCollect;
   Options.Mode = [this] {
     bool Relayed = ConfigIsRelayed && ConfigIsRelayed() && !isRelay();
-    return Relayed ? FollowMode::Told : FollowMode::Watch;
+    return Relayed ? FollowMode::Pushed : FollowMode::Watch;
   };
   return Options;
 }
@@ -122,16 +122,16 @@
 
 // A call without an answer: waits that were under way at the same time have
 // probably lost theirs too.
-void StoreSync::doubtWaits() {
+void StoreSync::revalidateWatches() {
   for (KindWatch *Each :
        {ConfigWatch.get(), RolloutWatch.get(), EndpointWatch.get()})
     if (Each != nullptr)
-      Each->doubt();
+      Each->revalidate();
 }
 
 void StoreSync::noteError(PlatformError Error) {
   if (Error == PlatformError::NoAnswer)
-    doubtWaits();
+    revalidateWatches();
 }
 
 void StoreSync::readConfig() {
@@ -145,13 +145,13 @@
         takeConfig(Read.value());
         // The wait for changes should have brought it.
         if (Read.value().Version > ConfigWatch->revision())
-          ConfigWatch->doubt();
+          ConfigWatch->revalidate();
       });
 }
 
-void StoreSync::configTold(uint64_t Revision) {
+void StoreSync::configPushed(uint64_t Revision) {
   if (ConfigWatch)
-    ConfigWatch->told(Revision);
+    ConfigWatch->advanceTo(Revision);
 }
 
 void StoreSync::stop() {
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -76,7 +76,7 @@
   bool isRelay() const;
 
   // A peer brought the configuration of Revision.
-  void configTold(uint64_t Revision);
+  void configPushed(uint64_t Revision);
 
   // Whether relays keep this daemon's configuration up to date.
   std::function<bool()> ConfigIsRelayed;
@@ -106,7 +106,7 @@
     TimerHandle Retry;
   };
 
-  void doubtWaits();
+  void revalidateWatches();
   void noteError(PlatformError Error);
   void takeConfig(const PlatformObject &Object);
   void takeRollout(const PlatformObject &Object);
--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -52,8 +52,8 @@
 
 void KindWatch::follow() {
   FollowMode Mode = Options.Mode ? Options.Mode() : FollowMode::Watch;
-  if (Mode == FollowMode::Told) {
-    Next = Timers.after(Options.TellPeriod, [this] { follow(); });
+  if (Mode == FollowMode::Pushed) {
+    Next = Timers.after(Options.ModePeriod, [this] { follow(); });
     return;
   }
   if (Mode != FollowMode::ListStale) {
@@ -133,7 +133,7 @@
     follow();
 }
 
-void KindWatch::doubt() {
+void KindWatch::revalidate() {
   if (!Waiting)
     return;
   Waiting = false;
--- a/cyclamenwind/store/kind_watch.h
+++ b/cyclamenwind/store/kind_watch.h
@@ -6,9 +6,9 @@
 // waits, so that a burst costs few calls.
 //
 // A wait may be lost without a sign: nothing tells a platform that has nothing
-// to say from a connection that died. The owner therefore says when there is
-// reason to doubt it, and the platform is asked anew by a call that it answers
-// at once.
+// to say from a connection that died. The owner therefore asks for revalidation
+// when there is reason for it: the platform is called anew, and answers at
+// once.
 
 #ifndef CYCLAMENWIND_STORE_KIND_WATCH_H
 #define CYCLAMENWIND_STORE_KIND_WATCH_H
@@ -24,7 +24,7 @@
   Watch,      // Waits for changes.
   WatchStale, // Waits for changes that may be shown seconds late.
   ListStale,  // Reads the listing from time to time, seconds late.
-  Told,       // Makes no calls: the owner learns of changes in another way.
+  Pushed,     // Makes no calls: the owner is sent changes in another way.
 };
 
 struct KindWatchOptions {
@@ -40,8 +40,8 @@
   // second, since most changes come while a fleet starts.
   Duration FirstListPeriod = 1500ms;
   Duration ListPeriod = 15s;
-  // How often Mode is asked in FollowMode::Told.
-  Duration TellPeriod = 2s;
+  // How often Mode is asked in FollowMode::Pushed.
+  Duration ModePeriod = 2s;
   // Asked before each wait. Empty: always Watch.
   std::function<FollowMode()> Mode = {};
 };
@@ -73,10 +73,10 @@
   void resume();
 
   // The owner has learned of all up to Revision in another way.
-  void told(uint64_t Upto) { Revision = std::max(Revision, Upto); }
+  void advanceTo(uint64_t Upto) { Revision = std::max(Revision, Upto); }
 
   // A wait that is under way may have been lost: asks anew.
-  void doubt();
+  void revalidate();
 
   // The newest revision that this has kept up to.
   uint64_t revision() const { return Revision; }
--- a/tests/mesh_chooser_test.cpp
+++ b/tests/mesh_chooser_test.cpp
@@ -84,9 +84,13 @@
   Fleet Known({"a", "b"});
   Known.Chooser.avoid("s0", 1s, Start);
   CHECK(Known.choices(50, Start)["s0"] == 0);
-  CHECK_FALSE(Known.Chooser.allUnreachable(Known.Candidates, Start));
+  CHECK(Known.choices(50, Start)["s1"] == 50);
   Known.Chooser.avoid("s1", 1s, Start);
-  CHECK(Known.Chooser.allUnreachable(Known.Candidates, Start));
+  std::map<std::string, int> LastResort = Known.choices(50, Start);
+  CHECK(LastResort["s0"] > 0);
+  CHECK(LastResort["s0"] + LastResort["s1"] == 50);
+  Known.Chooser.regained("s0");
+  CHECK(Known.choices(50, Start)["s0"] == 50);
   CHECK(Known.Chooser.choose(Known.Candidates, {}, 600ms, Start) != nullptr);
   CHECK(Known.Chooser.choose(Known.Candidates, {"s0", "s1"}, 600ms, Start) ==
         nullptr);
