A daemon that was turned away goes back to following the platform

Reading the change again: a daemon whose wait for the configuration had failed stopped asking as soon as it heard of a relay. Its wait stayed lost for good, the watches of rollouts and records stayed suspended behind it, and it pulled all state from a peer each second.

Change: after a failure the platform is asked until it answers, whatever the mode.

Measured: mesh_store_sync_test "a daemon that was turned away for a while" fails without the change and passes with it.

--- a/cyclamenwind/store/kind_watch.cpp
+++ b/cyclamenwind/store/kind_watch.cpp
@@ -52,7 +52,7 @@
 
 void KindWatch::follow() {
   FollowMode Mode = Options.Mode ? Options.Mode() : FollowMode::Watch;
-  if (Mode == FollowMode::Pushed) {
+  if (Mode == FollowMode::Pushed && !Probing) {
     Next = Timers.after(Options.ModePeriod, [this] { follow(); });
     return;
   }
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -181,6 +181,24 @@
     CHECK(Daemons[I]->State->routes()->config().Version == 3);
 }
 
+TEST_CASE(
+    "a daemon that was turned away for a while follows the platform again "
+    "though relays keep its configuration up to date") {
+  Bench Running;
+  auto Daemons = Running.fleet(5);
+  Running.operatorWrites("config/main", configText(1));
+  Running.Time.advance(3s);
+  Daemon &Last = *Daemons.back();
+  Last.Client->CutOff = true;
+  Running.operatorWrites("config/main", configText(2));
+  Running.Time.advance(6s);
+  CHECK_FALSE(Last.Store->reachable());
+  CHECK(Last.State->routes()->config().Version == 2); // By a relay.
+  Last.Client->CutOff = false;
+  Running.Time.advance(3s);
+  CHECK(Last.Store->reachable());
+}
+
 TEST_CASE("many hosts start at once: all know all servers within two seconds") {
   Bench Running;
   std::vector<std::unique_ptr<Daemon>> Daemons;
