The store's stated rates bound a daemon's calls; fields that nothing read are gone

Reading the change again: the platform's rates, the region, a server's warm-up and the limit of its connections were decoded, some of them kept in every record, and nothing used them; a missing region stopped a daemon. The budget of calls was a constant whatever the rates.

--- a/cyclamenwind/mesh/config.h
+++ b/cyclamenwind/mesh/config.h
@@ -43,7 +43,6 @@
 struct MeshService {
   std::string Name;
   std::string HealthPath;
-  int MaxConnections = 0; // To one backend server, from all callers.
 };
 
 struct CallerLimits {
--- a/cyclamenwind/mesh/endpoint.cpp
+++ b/cyclamenwind/mesh/endpoint.cpp
@@ -39,7 +39,6 @@
   Record.slots = Value.Slots;
   Record.born = Value.Born;
   Record.sequence = Value.Sequence;
-  Record.warmAt = Value.WarmAt;
   return Record;
 }
 
@@ -61,7 +60,6 @@
   Value.Slots = Record.slots;
   Value.Born = Record.born;
   Value.Sequence = Record.sequence;
-  Value.WarmAt = Record.warmAt;
   if (!isComplete(Value))
     return std::nullopt;
   return Value;
@@ -77,8 +75,7 @@
                {"state", nameOf(Value.State)},
                {"slots", Value.Slots},
                {"born", Value.Born},
-               {"sequence", Value.Sequence},
-               {"warm_at", Value.WarmAt}};
+               {"sequence", Value.Sequence}};
   return Node.dump();
 }
 
@@ -96,7 +93,6 @@
     Record.slots = Node.at("slots").get<int>();
     Record.born = Node.at("born").get<int64_t>();
     Record.sequence = Node.at("sequence").get<int64_t>();
-    Record.warmAt = Node.at("warm_at").get<int64_t>();
     return endpointOf(Record);
   } catch (const json::exception &) {
     return std::nullopt;
--- a/cyclamenwind/mesh/endpoint.h
+++ b/cyclamenwind/mesh/endpoint.h
@@ -43,7 +43,6 @@
   int Slots = 0;        // Requests that it runs at once.
   int64_t Born = 0;     // Start of the incarnation, Unix milliseconds.
   int64_t Sequence = 0; // Of the server's report that this is from.
-  int64_t WarmAt = 0;   // When it is no longer slow, Unix milliseconds.
 
   // Whether this is later than Other, a record of the same id.
   bool supersedes(const MeshEndpoint &Other) const {
--- a/cyclamenwind/mesh/host_settings.h
+++ b/cyclamenwind/mesh/host_settings.h
@@ -14,7 +14,6 @@
 struct HostSettings {
   std::string Name;
   std::string FailureDomain;
-  std::string Region;
   std::string ServerService; // Of the backend server beside the daemon.
 
   Address Callers;   // Where callers and the backend server send requests.
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -30,20 +30,28 @@
 // Part of the memory that one request's body may take.
 constexpr size_t BodyMemoryDivisor = 16;
 constexpr size_t DefaultBodyBytes = 4 * 1024 * 1024;
-// Of the platform's rates, for one daemon: a few calls at once at the start and
-// when many records change.
-constexpr double CallsPerSecond = 20;
-constexpr int CallBurst = 40;
+// Part of the platform's rate that one daemon may use, and its limit: a daemon
+// makes under one call a second but for a few at once at its start, and when
+// many records change.
+constexpr double RateShare = 0.05;
+constexpr double MaxCallsPerSecond = 20;
+constexpr double MinCallsPerSecond = 1;
+constexpr int BurstSeconds = 2;
+// A start takes five calls, in a row.
+constexpr int MinCallBurst = 10;
 
 uint64_t freshSeed() {
   std::random_device Source;
   return (uint64_t(Source()) << 32) | Source();
 }
 
-PlatformSettings platformSettings() {
+PlatformSettings platformSettings(const HostSettings &Settings) {
+  double Rate = std::min(Settings.WritesPerSecond, Settings.ReadsPerSecond);
   PlatformSettings Options;
-  Options.CallsPerSecond = CallsPerSecond;
-  Options.Burst = CallBurst;
+  Options.CallsPerSecond =
+      std::clamp(RateShare * Rate, MinCallsPerSecond, MaxCallsPerSecond);
+  Options.Burst = std::max(
+      MinCallBurst, static_cast<int>(BurstSeconds * Options.CallsPerSecond));
   Options.Timeout = PlatformCallTimeout;
   return Options;
 }
@@ -81,8 +89,8 @@
                        std::unique_ptr<PlatformClient> Platform)
     : TheLoop(TheLoop), Settings(Settings), Adapters(Adapters),
       Dice(freshSeed()), Services(TheLoop, TheLoop, Dice) {
-  auto Store = std::make_unique<PlatformService>(std::move(Platform), TheLoop,
-                                                 platformSettings(), Dice);
+  auto Store = std::make_unique<PlatformService>(
+      std::move(Platform), TheLoop, platformSettings(Settings), Dice);
   PlatformClient &Client = *Store;
   PooledClientOptions Options;
   Options.Parser.MaxBodyBytes = bodyLimit(Settings);
--- a/cyclamenwind/mesh/registry.cpp
+++ b/cyclamenwind/mesh/registry.cpp
@@ -76,7 +76,6 @@
   Record.Sequence = Report.Sequence;
   Record.State =
       Report.Draining ? EndpointState::Draining : EndpointState::Ready;
-  Record.WarmAt = Report.Born + milliseconds(Report.WarmupLeft);
   auto Left = LeftUnknown.find(Report.Id);
   bool HasLeft = Left != LeftUnknown.end() &&
                  Time->now() - Left->second < ReportDelayLimit;
--- a/cyclamenwind/mesh/registry.h
+++ b/cyclamenwind/mesh/registry.h
@@ -29,7 +29,6 @@
   std::string Version;
   int Slots = 0;
   bool Draining = false;
-  Duration WarmupLeft{}; // How much longer it is slow.
   int64_t Sequence = 0;
   int64_t Born = 0; // Unix milliseconds; 0 if not said.
 };
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -1090,10 +1090,6 @@
   this->sequence = val;
 }
 
-void EndpointRecord::__set_warmAt(const int64_t val) {
-  this->warmAt = val;
-}
-
 void EndpointRecord::__set_serverAddress(const std::string& val) {
   this->serverAddress = val;
 }
@@ -1197,14 +1193,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->warmAt);
-          this->__isset.warmAt = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->serverAddress);
@@ -1266,10 +1254,6 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("warmAt", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->warmAt);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("serverAddress", ::apache::thrift::protocol::T_STRING, 11);
   xfer += oprot->writeString(this->serverAddress);
   xfer += oprot->writeFieldEnd();
@@ -1290,7 +1274,6 @@
   swap(a.slots, b.slots);
   swap(a.born, b.born);
   swap(a.sequence, b.sequence);
-  swap(a.warmAt, b.warmAt);
   swap(a.serverAddress, b.serverAddress);
   swap(a.__isset, b.__isset);
 }
@@ -1305,7 +1288,6 @@
   slots = other25.slots;
   born = other25.born;
   sequence = other25.sequence;
-  warmAt = other25.warmAt;
   serverAddress = other25.serverAddress;
   __isset = other25.__isset;
 }
@@ -1319,7 +1301,6 @@
   slots = other26.slots;
   born = other26.born;
   sequence = other26.sequence;
-  warmAt = other26.warmAt;
   serverAddress = std::move(other26.serverAddress);
   __isset = other26.__isset;
 }
@@ -1333,7 +1314,6 @@
   slots = other27.slots;
   born = other27.born;
   sequence = other27.sequence;
-  warmAt = other27.warmAt;
   serverAddress = other27.serverAddress;
   __isset = other27.__isset;
   return *this;
@@ -1348,7 +1328,6 @@
   slots = other28.slots;
   born = other28.born;
   sequence = other28.sequence;
-  warmAt = other28.warmAt;
   serverAddress = std::move(other28.serverAddress);
   __isset = other28.__isset;
   return *this;
@@ -1365,7 +1344,6 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "born=" << to_string(born);
   out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "warmAt=" << to_string(warmAt);
   out << ", " << "serverAddress=" << to_string(serverAddress);
   out << ")";
 }
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -406,7 +406,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
 typedef struct _EndpointRecord__isset {
-  _EndpointRecord__isset() : id(false), serviceName(false), serverVersion(false), failureDomain(false), gateAddress(false), state(false), slots(false), born(false), sequence(false), warmAt(false), serverAddress(false) {}
+  _EndpointRecord__isset() : id(false), serviceName(false), serverVersion(false), failureDomain(false), gateAddress(false), state(false), slots(false), born(false), sequence(false), serverAddress(false) {}
   bool id :1;
   bool serviceName :1;
   bool serverVersion :1;
@@ -416,7 +416,6 @@
   bool slots :1;
   bool born :1;
   bool sequence :1;
-  bool warmAt :1;
   bool serverAddress :1;
 } _EndpointRecord__isset;
 
@@ -437,7 +436,6 @@
                    slots(0),
                    born(0),
                    sequence(0),
-                   warmAt(0),
                    serverAddress() {
   }
 
@@ -451,7 +449,6 @@
   int32_t slots;
   int64_t born;
   int64_t sequence;
-  int64_t warmAt;
   std::string serverAddress;
 
   _EndpointRecord__isset __isset;
@@ -474,8 +471,6 @@
 
   void __set_sequence(const int64_t val);
 
-  void __set_warmAt(const int64_t val);
-
   void __set_serverAddress(const std::string& val);
 
   bool operator == (const EndpointRecord & rhs) const
@@ -498,8 +493,6 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
-    if (!(warmAt == rhs.warmAt))
-      return false;
     if (!(serverAddress == rhs.serverAddress))
       return false;
     return true;
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -75,8 +75,7 @@
   // Start of the incarnation, Unix milliseconds.
   8: i64 born
   9: i64 sequence
-  // When the server has warmed up, Unix milliseconds.
-  10: i64 warmAt
+  // 10 was when the server has warmed up.
   // Where the backend server listens, beside the daemon.
   11: string serverAddress
 }
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -140,7 +140,7 @@
   Submit.PathPrefix = "/submit/";
   Submit.Idempotent = false;
   Value.Routes = {Read, Submit};
-  Value.Services = {{"quote", "/health", 100}};
+  Value.Services = {{"quote", "/health"}};
   return Value;
 }
 
@@ -218,7 +218,6 @@
             "v1",
             2,
             Draining,
-            {},
             Sequence,
             1000};
   }
--- a/tests/mesh_gauges_test.cpp
+++ b/tests/mesh_gauges_test.cpp
@@ -33,7 +33,7 @@
   MeshConfig Config;
   Config.Revision = 12;
   Config.Version = 5;
-  Config.Services = {{"quote", "/health", 100}};
+  Config.Services = {{"quote", "/health"}};
   State.apply(Config, "text");
   Time.advance(3s);
   setMeshGauges(
