--- a/cyclamenwind/mesh/endpoint.cpp
+++ b/cyclamenwind/mesh/endpoint.cpp
@@ -3,6 +3,8 @@
 #include "cyclamenwind/base/names.h"
 #include "cyclamenwind/wire/gen-cpp/mesh_types.h"
 
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
 namespace cyclamenwind {
@@ -17,9 +19,29 @@
     {EndpointState::Gone, "gone"},
 }};
 
+// More slots than any backend server has; a larger number is not a record of a
+// daemon.
+constexpr int MaxSlots = 1000000;
+
+// Returns the integer Field of Node. Throws json::exception if it is missing,
+// is not an integer or does not fit in T, which get() alone would truncate.
+template <typename T> T integerAt(const json &Node, const char *Field) {
+  const json &Value = Node.at(Field);
+  bool IsTooLarge =
+      Value.is_number_unsigned() &&
+      Value.get<uint64_t>() > uint64_t(std::numeric_limits<T>::max());
+  bool IsTooSmall =
+      Value.is_number_integer() && !Value.is_number_unsigned() &&
+      Value.get<int64_t>() < int64_t(std::numeric_limits<T>::min());
+  if (!Value.is_number_integer() || IsTooLarge || IsTooSmall)
+    throw json::other_error::create(
+        501, std::string(Field) + " is not an integer in range", &Value);
+  return Value.get<T>();
+}
+
 bool isComplete(const MeshEndpoint &Endpoint) {
   return !Endpoint.Id.empty() && !Endpoint.Service.empty() &&
-         Endpoint.Slots > 0;
+         Endpoint.Slots > 0 && Endpoint.Slots <= MaxSlots;
 }
 
 } // namespace
@@ -91,9 +113,9 @@
     Record.gateAddress = Node.at("gate").get<std::string>();
     Record.serverAddress = Node.at("server").get<std::string>();
     Record.state = Node.at("state").get<std::string>();
-    Record.slots = Node.at("slots").get<int>();
-    Record.born = Node.at("born").get<int64_t>();
-    Record.sequence = Node.at("sequence").get<int64_t>();
+    Record.slots = integerAt<int>(Node, "slots");
+    Record.born = integerAt<int64_t>(Node, "born");
+    Record.sequence = integerAt<int64_t>(Node, "sequence");
     return fromWire(Record);
   } catch (const json::exception &) {
     return std::nullopt;
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -187,7 +187,7 @@
 
 void StoreSync::applyRollout(const PlatformObject &Object) {
   std::optional<RolloutOrder> Order = Codec.rolloutOrder(Object);
-  if (!Order) {
+  if (!Order || Codec.rolloutPrefix() + Order->Service != Object.Key) {
     logWarning("rollout_unreadable", {{"key", Object.Key}});
     return;
   }
@@ -240,10 +240,18 @@
                 Rollout.order, Rollout.status});
 }
 
-void StoreSync::mergeEndpoint(const PlatformObject &Object) {
+std::optional<MeshEndpoint>
+StoreSync::recordOf(const PlatformObject &Object) const {
   std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
-  if (!Record || endpointKey(Record->Id) != Object.Key) {
-    logWarning("endpoint_unreadable", {{"key", Object.Key}});
+  if (!Record || endpointKey(Record->Id) != Object.Key)
+    return std::nullopt;
+  return Record;
+}
+
+void StoreSync::mergeEndpoint(const PlatformObject &Object) {
+  std::optional<MeshEndpoint> Record = recordOf(Object);
+  if (!Record) {
+    onUnreadableRecord(Object);
     return;
   }
   StoredRecord &Previous = Stored[Record->Id];
@@ -252,10 +260,26 @@
   State->merge(*Record);
 }
 
+// An object of another writer names no server. What is known of a server by its
+// name holds; if the server is local, its record is written again.
+void StoreSync::onUnreadableRecord(const PlatformObject &Object) {
+  std::string Id = Object.Key.substr(Codec.endpointPrefix().size());
+  StoredRecord &Previous = Stored[Id];
+  if (Object.Version <= Previous.Version)
+    return;
+  Previous = {Object.Version, std::nullopt};
+  logWarning("endpoint_unreadable",
+             {{"key", Object.Key}, {"revision", Object.Version}});
+  auto Found = Publications.find(Id);
+  if (Found != Publications.end() &&
+      Found->second.Record.State == EndpointState::Ready)
+    write(Id);
+}
+
 // Announces the record to the other daemons of this failure domain: when many
 // daemons start at once, the server's own daemon may not know all of them.
 void StoreSync::announceEndpoint(const PlatformObject &Object) {
-  std::optional<MeshEndpoint> Record = parseEndpoint(Object.Value);
+  std::optional<MeshEndpoint> Record = recordOf(Object);
   if (!Record)
     return;
   if (PendingAnnouncements.empty())
@@ -398,36 +422,36 @@
 // and the next one needs the version.
 void StoreSync::readBack(const std::string &Id) {
   Publications.at(Id).Writing = true;
-  Platform.read(
-      endpointKey(Id), [this, Id](Result<PlatformObject, PlatformError> Read) {
-        auto Found = Publications.find(Id);
-        if (Found == Publications.end())
-          return;
-        Publication &Entry = Found->second;
-        Entry.Writing = false;
-        if (!Read && Read.error() != PlatformError::NotFound) {
-          retryLater(Id);
-          return;
-        }
-        if (!Read) {
-          Stored.erase(Id);
-          retryLater(Id);
-          return;
-        }
-        std::optional<MeshEndpoint> Current = parseEndpoint(Read.value().Value);
-        Stored[Id] = {Read.value().Version, Current};
-        if (Current && Current->supersedes(Entry.Record)) {
-          logWarning("endpoint_superseded", {{"server", Id}});
-          State->merge(*Current);
-          return;
-        }
-        bool IsStored = Current && !Entry.Record.supersedes(*Current);
-        if (IsStored)
-          onWritten(Id, static_cast<uint64_t>(Entry.Record.Sequence),
-                    Entry.Record.State, Read.value().Version);
-        else
-          write(Id);
-      });
+  Platform.read(endpointKey(Id),
+                [this, Id](Result<PlatformObject, PlatformError> Read) {
+                  auto Found = Publications.find(Id);
+                  if (Found == Publications.end())
+                    return;
+                  Publication &Entry = Found->second;
+                  Entry.Writing = false;
+                  if (!Read && Read.error() != PlatformError::NotFound) {
+                    retryLater(Id);
+                    return;
+                  }
+                  if (!Read) {
+                    Stored.erase(Id);
+                    retryLater(Id);
+                    return;
+                  }
+                  std::optional<MeshEndpoint> Current = recordOf(Read.value());
+                  Stored[Id] = {Read.value().Version, Current};
+                  if (Current && Current->supersedes(Entry.Record)) {
+                    logWarning("endpoint_superseded", {{"server", Id}});
+                    State->merge(*Current);
+                    return;
+                  }
+                  bool IsStored = Current && !Entry.Record.supersedes(*Current);
+                  if (IsStored)
+                    onWritten(Id, static_cast<uint64_t>(Entry.Record.Sequence),
+                              Entry.Record.State, Read.value().Version);
+                  else
+                    write(Id);
+                });
 }
 
 void StoreSync::retryLater(const std::string &Id) {
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -119,7 +119,11 @@
   void receiveRollout(const Address &From, std::string_view Payload);
   bool isStored(const MeshEndpoint &Record) const;
   void onRolloutChanged(const PlatformChange &Change);
+  // The record that Object holds; nothing if it is not the record of the server
+  // that its key names.
+  std::optional<MeshEndpoint> recordOf(const PlatformObject &Object) const;
   void mergeEndpoint(const PlatformObject &Object);
+  void onUnreadableRecord(const PlatformObject &Object);
   void flushAnnouncements();
   void announceEndpoint(const PlatformObject &Object);
   PrefixWatchOptions configWatchOptions();
@@ -151,7 +155,7 @@
   // Records on the platform, as last read or written, by server id.
   struct StoredRecord {
     uint64_t Version = 0;
-    std::optional<MeshEndpoint> Record;
+    std::optional<MeshEndpoint> Record; // Nothing if it is unreadable.
   };
   std::map<std::string, StoredRecord> Stored;
   // Rollouts on the platform, as last read or written, by key.
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -441,3 +441,47 @@
   CHECK_FALSE(World.Platform.Store.read("endpoints/i-3"));
   CHECK(World.Platform.Store.read("endpoints/i-1"));
 }
+
+TEST_CASE("odd entries of another writer name no server, and the others hold") {
+  StoreWorld World;
+  auto Fleet = World.fleet(3);
+  World.Time.advance(3s);
+  std::string OtherServer = formatEndpoint(server("i-9", 1));
+  for (const std::string &Odd :
+       {std::string(100000, '['), std::string("{\"slots\": 1e999}"),
+        std::string("\xff\xfe"), std::string(), std::string("17"), OtherServer,
+        std::string("{\"id\": \"odd\", \"server\": \"10.0.0.1:65536\"}")}) {
+    World.operatorWrites("endpoints/odd", Odd);
+    World.operatorWrites("rollouts/odd", Odd);
+    World.Time.advance(2s);
+  }
+  auto Late = World.daemon("10.0.0.9");
+  MeshEndpoint New = server("i-4", 1);
+  New.DaemonAddress.Host = New.ServerAddress.Host = "10.0.0.9";
+  Late->Store->publish(New, [](bool) {});
+  World.Time.advance(20s);
+  Fleet.push_back(std::move(Late));
+  for (const std::unique_ptr<Daemon> &Each : Fleet) {
+    for (const char *Id : {"i-1", "i-2", "i-3", "i-4"}) {
+      const MeshEndpoint *Known = Each->State->directory().find(Id);
+      REQUIRE(Known != nullptr);
+      CHECK(Known->State == EndpointState::Ready);
+    }
+    CHECK(Each->State->directory().find("odd") == nullptr);
+    CHECK(Each->State->directory().find("i-9") == nullptr);
+  }
+}
+
+TEST_CASE("the record of a server that another writer spoiled is written "
+          "again") {
+  StoreWorld World;
+  auto Fleet = World.fleet(2);
+  World.Time.advance(3s);
+  World.operatorWrites("endpoints/i-1", "{\"slots\": [[]]}");
+  World.Time.advance(3s);
+  Result<PlatformObject, PlatformError> Stored =
+      World.Platform.Store.read("endpoints/i-1");
+  REQUIRE(Stored);
+  CHECK(parseEndpoint(Stored.value().Value));
+  CHECK(Fleet[1]->State->directory().find("i-1") != nullptr);
+}
--- /dev/null
+++ b/tests/platform_store_client_test.cpp
@@ -0,0 +1,166 @@
+// The store client against scripted answers: entries of other writers.
+
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::literals;
+
+namespace {
+
+class ScriptedCall final : public HttpCall {
+public:
+  bool sent() const override { return true; }
+};
+
+// Answers the N-th call with the N-th of Bodies when answerAll() is called.
+class ScriptedSender final : public HttpSender {
+public:
+  explicit ScriptedSender(std::vector<std::string> Bodies)
+      : Bodies(std::move(Bodies)) {}
+
+  std::unique_ptr<HttpCall> send(const Address &, const HttpRequest &Request,
+                                 Duration, HttpCallback OnDone) override {
+    Targets.push_back(Request.Target);
+    Pending.push_back(std::move(OnDone));
+    return std::make_unique<ScriptedCall>();
+  }
+
+  void answerAll() {
+    for (; Next < Pending.size(); ++Next)
+      Pending[Next](HttpResponse{200, {}, Bodies.at(Next)});
+  }
+
+  std::vector<std::string> Bodies;
+  std::vector<std::string> Targets;
+  std::vector<HttpCallback> Pending;
+  size_t Next = 0;
+};
+
+struct ClientWithScript {
+  explicit ClientWithScript(std::vector<std::string> Bodies) {
+    auto Owned = std::make_unique<ScriptedSender>(std::move(Bodies));
+    Sender = Owned.get();
+    Client = std::make_unique<platform::StoreClient>(
+        std::move(Owned), Address{"127.0.0.1", 1}, 1s);
+  }
+
+  ScriptedSender *Sender;
+  std::unique_ptr<platform::StoreClient> Client;
+};
+
+std::string nested(int Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+std::string entry(const std::string &Name, const std::string &Spec) {
+  return R"({"metadata":{"name":")" + Name + R"(","revision":7},"spec":)" +
+         Spec + "}";
+}
+
+const std::string Sound = entry("i-2", R"("text")");
+
+// Entries that no server's daemon would write.
+std::vector<std::string> oddEntries() {
+  return {
+      entry("odd", nested(100000)),
+      R"({"metadata":)" + nested(100000) + "}",
+      entry("odd", "1e999"),
+      entry("odd", "123456789012345678901234567890"),
+      R"({"metadata":{"name":"odd","revision":1e400},"spec":"x"})",
+      R"({"metadata":{"name":"odd","revision":-1},"spec":"x"})",
+      R"({"metadata":{"name":7,"revision":7},"spec":"x"})",
+      R"({"metadata":{"revision":7}})",
+      R"({"metadata":{"name":"odd"}})",
+      R"({"metadata":"odd"})",
+      R"({})",
+      "17",
+      "null",
+      R"("odd")",
+      "[[]]",
+      entry("odd", "\"\xff\xfe\""),
+      entry("odd", "\"\\ud800\""),
+      entry("odd", "\"" + std::string(1 << 20, 'n') + "\""),
+  };
+}
+
+bool contains(const std::vector<PlatformObject> &Objects,
+              const std::string &Key) {
+  return std::any_of(
+      Objects.begin(), Objects.end(),
+      [&Key](const PlatformObject &Object) { return Object.Key == Key; });
+}
+
+} // namespace
+
+TEST_CASE("one odd entry leaves the others of a listing readable") {
+  for (const std::string &Odd : oddEntries()) {
+    INFO(Odd.substr(0, 60));
+    ClientWithScript Script({R"({"at":9,"items":[)" + entry("i-1", "\"a\"") +
+                             "," + Odd + "," + Sound +
+                             R"(],"hasMore":false})"});
+    std::optional<PlatformListing> Listed;
+    Script.Client->list("endpoints/",
+                        [&](Result<PlatformListing, PlatformError> Outcome) {
+                          if (Outcome)
+                            Listed = Outcome.value();
+                        });
+    Script.Sender->answerAll();
+    REQUIRE(Listed);
+    CHECK(Listed->Revision == 9);
+    CHECK(contains(Listed->Objects, "endpoints/i-1"));
+    CHECK(contains(Listed->Objects, "endpoints/i-2"));
+  }
+}
+
+TEST_CASE("one odd entry leaves the other changes of a watch readable") {
+  for (const std::string &Odd : oddEntries()) {
+    INFO(Odd.substr(0, 60));
+    ClientWithScript Script({R"({"at":9,"events":[{"object":)" + Odd +
+                             R"(,"deleted":false},{"object":)" + Sound +
+                             R"(,"deleted":true},17]})"});
+    std::optional<WatchBatch> Batch;
+    Script.Client->watch("endpoints/", 3, 1s,
+                         [&](Result<WatchBatch, PlatformError> Outcome) {
+                           if (Outcome)
+                             Batch = Outcome.value();
+                         });
+    Script.Sender->answerAll();
+    REQUIRE(Batch);
+    CHECK(Batch->Revision == 9);
+    REQUIRE_FALSE(Batch->Changes.empty());
+    CHECK(Batch->Changes.back().Object.Key == "endpoints/i-2");
+    CHECK(Batch->Changes.back().Removed);
+  }
+}
+
+TEST_CASE("a listing continues after a page that ends with an odd entry") {
+  ClientWithScript Script(
+      {R"({"at":9,"items":[)" + entry("i-1", "\"a\"") +
+           R"(,{"metadata":{"name":"i-1x"}}],)" + R"("hasMore":true})",
+       R"({"at":11,"items":[)" + Sound + R"(],"hasMore":false})"});
+  std::optional<PlatformListing> Listed;
+  Script.Client->list("endpoints/",
+                      [&](Result<PlatformListing, PlatformError> Outcome) {
+                        if (Outcome)
+                          Listed = Outcome.value();
+                      });
+  Script.Sender->answerAll();
+  REQUIRE(Listed);
+  CHECK(Listed->Objects.size() == 2);
+  CHECK(Script.Sender->Targets[1].find("after=i-1x") != std::string::npos);
+}
+
+TEST_CASE("a page from which no listing can continue is an error, not the end "
+          "of the listing") {
+  ClientWithScript Script({R"({"at":9,"items":[17],"hasMore":true})"});
+  std::optional<PlatformError> Error;
+  Script.Client->list("endpoints/",
+                      [&](Result<PlatformListing, PlatformError> Outcome) {
+                        if (!Outcome)
+                          Error = Outcome.error();
+                      });
+  Script.Sender->answerAll();
+  CHECK(Error == PlatformError::Malformed);
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -117,6 +117,100 @@
   CHECK_FALSE(Table.match("h.example", "/a/b/x")->Idempotent);
 }
 
+TEST_CASE("routes of safe and download requests are idempotent, others are "
+          "not") {
+  platform::PlatformObjectCodec Codec;
+  for (const auto &[Kind, Idempotent] :
+       std::map<std::string, bool>{{"safe", true},
+                                   {"download", true},
+                                   {"unsafe", false},
+                                   {"other", false}}) {
+    std::string Text = ConfigText;
+    Text.replace(Text.find("\"safe\""), 6, "\"" + Kind + "\"");
+    std::optional<MeshConfig> Config = Codec.config(Text, 1);
+    REQUIRE(Config);
+    CHECK(Config->Routes[0].Idempotent == Idempotent);
+  }
+}
+
+TEST_CASE("numbers out of range neither wrap nor pass for other values") {
+  platform::PlatformObjectCodec Codec;
+  std::string Text = ConfigText;
+  Text.replace(Text.find("\"timeoutMs\": 1200"), 17, "\"timeoutMs\": 1e300");
+  Text.replace(Text.find("\"maxAttempts\": 2"), 16,
+               "\"maxAttempts\": 4294967297");
+  std::optional<MeshConfig> Config = Codec.config(Text, 1);
+  REQUIRE(Config);
+  CHECK(Config->Routes[0].Timeout > Config->Routes[1].Timeout);
+  CHECK(TimePoint(1h) + Config->Routes[0].Timeout > TimePoint(1h));
+  CHECK(Config->Routes[0].MaxAttempts > 1);
+  for (const char *Slots :
+       {"4294967297", "18446744073709551615", "1e9", "1e400", "0", "-1",
+        "123456789012345678901234567890"}) {
+    INFO(Slots);
+    std::string Report = ReportText;
+    Report.replace(Report.find("\"capacity\": 9"), 13,
+                   std::string("\"capacity\": ") + Slots);
+    CHECK_FALSE(platform::parseReport("i-1", Report));
+  }
+  for (const char *Sequence : {"18446744073709551615", "1e30"}) {
+    std::string Report = ReportText;
+    Report.replace(Report.find("\"sequence\": 4"), 13,
+                   std::string("\"sequence\": ") + Sequence);
+    CHECK_FALSE(platform::parseReport("i-1", Report));
+  }
+  for (const char *Port : {"0", "65536", "-1", "1000000000", "", "http"}) {
+    std::string Report = ReportText;
+    Report.replace(Report.find("8301"), 4, Port);
+    CHECK_FALSE(platform::parseReport("i-1", Report));
+  }
+  PlatformObject Order{
+      "rollouts/quote", 5,
+      R"({"service": "quote", "targetVersion": "v2", "durationS": 1e300})",
+      R"({"state": "running", "targetVersion": "v2", "share": 1e300,
+          "elapsedMs": 1e300})"};
+  REQUIRE(Codec.rolloutOrder(Order));
+  CHECK(TimePoint(1h) + Codec.rolloutOrder(Order)->TimeLimit > TimePoint(1h));
+  REQUIRE(Codec.rolloutStatus(Order));
+  CHECK(Codec.rolloutStatus(Order)->Share == 1);
+  CHECK(Codec.rolloutStatus(Order)->Elapsed > Duration::zero());
+}
+
+TEST_CASE("records with odd values name no server") {
+  MeshEndpoint Endpoint;
+  Endpoint.Id = "i-1";
+  Endpoint.Service = "quote";
+  Endpoint.DaemonAddress = {"10.0.0.1", 7000};
+  Endpoint.ServerAddress = {"10.0.0.1", 8000};
+  Endpoint.Slots = 9;
+  std::string Sound = formatEndpoint(Endpoint);
+  REQUIRE(parseEndpoint(Sound));
+  auto With = [&Sound](const std::string &From, const std::string &To) {
+    std::string Text = Sound;
+    REQUIRE(Text.find(From) != std::string::npos);
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  for (const char *Slots : {"4294967305", "1e9", "1e400", "-9", "null", "[9]",
+                            "18446744073709551615"})
+    CHECK_FALSE(
+        parseEndpoint(With("\"slots\":9", std::string("\"slots\":") + Slots)));
+  for (const char *Field : {"born", "sequence"})
+    for (const char *Value : {"1e400", "18446744073709551615", "1.5", "{}"})
+      CHECK_FALSE(
+          parseEndpoint(With("\"" + std::string(Field) + "\":0",
+                             "\"" + std::string(Field) + "\":" + Value)));
+  for (const char *Port : {"0", "65536", "-1", "1000000000", "", "http"})
+    CHECK_FALSE(
+        parseEndpoint(With("10.0.0.1:8000", std::string("10.0.0.1:") + Port)));
+  CHECK_FALSE(parseEndpoint(With("10.0.0.1:8000", "10.0.0.1")));
+  CHECK_FALSE(parseEndpoint(With("10.0.0.1:8000", "host.example:8000")));
+  constexpr size_t Depth = 100000;
+  CHECK_FALSE(
+      parseEndpoint(With("\"slots\":9", "\"slots\":" + std::string(Depth, '[') +
+                                            std::string(Depth, ']'))));
+  CHECK_FALSE(parseEndpoint(std::string(Depth, '[')));
+}
+
 TEST_CASE("liveness reports are decoded; incomplete ones are rejected") {
   std::optional<ServerReport> Report = platform::parseReport("i-1", ReportText);
   REQUIRE(Report);
