Balancer: time on the way and the size of responses count

Cause: a server whose host's link was full was chosen as if its answers arrived at once; a response of 90 KB crossed failure domains as readily as one of 400 bytes. Change: the mean time that requests and responses spent on the way adds to a server's cost; large responses cross domains only if that saves the objective. Tests: "saturated link", "large responses cross".

--- a/cyclamenwind/mesh/mesh_balancer.cpp
+++ b/cyclamenwind/mesh/mesh_balancer.cpp
@@ -18,8 +18,13 @@
 constexpr double ReportHalfLifeS = 1.5;
 // Traffic between failure domains is expensive, while latency below the
 // objective is not. A server of another domain is therefore chosen only if it
-// saves this part of the objective.
-constexpr double CrossDomainShare = 0.25;
+// saves a part of the objective: MinCrossDomainShare for a small response, all
+// of it for one of ExpensiveBytes or more, whose transfer costs about as much
+// as the response is worth.
+constexpr double MinCrossDomainShare = 0.25;
+constexpr double ExpensiveBytes = 64 * 1024;
+// Weight of the newest request in the moving average of the transit time.
+constexpr double NewestTransitWeight = 0.3;
 // Random variation of the cost, so that daemons with the same data do not all
 // choose the same server.
 constexpr double CostJitter = 0.15;
@@ -37,13 +42,20 @@
   return std::exp2(-std::max(0.0, Age) / ReportHalfLifeS);
 }
 
+// Part of the objective that a server of another failure domain must save.
+double crossDomainShare(double ResponseBytes) {
+  double Expense = std::clamp(ResponseBytes / ExpensiveBytes, 0.0, 1.0);
+  return MinCrossDomainShare + (1 - MinCrossDomainShare) * Expense;
+}
+
 } // namespace
 
 const MeshEndpoint *
 MeshBalancer::choose(const std::vector<const MeshEndpoint *> &Candidates,
-                     const std::set<std::string> &Tried, Duration Objective,
-                     TimePoint Now) {
-  double DomainCost = CrossDomainShare * static_cast<double>(Objective.count());
+                     const std::set<std::string> &Tried,
+                     const BalancedRequest &Request, TimePoint Now) {
+  double DomainCost = crossDomainShare(Request.ResponseBytes) *
+                      static_cast<double>(Request.Objective.count());
   double MeanServiceTime = meanServiceTime(Candidates);
   const MeshEndpoint *Best = nullptr;
   double BestCost = 0;
@@ -107,6 +119,7 @@
   double Failures =
       std::max(0.0, Server.Load.FailureShare - NormalFailureShare) * Weight;
   Cost += FailureFactor * Failures * std::max(ServiceTime, MeanServiceTime);
+  Cost += Weight * static_cast<double>(Server.MeanTransit.count());
   if (Candidate.FailureDomain != FailureDomain)
     Cost += DomainCost;
   return Cost * (1 + CostJitter * (2 * Rng.fraction() - 1));
@@ -129,6 +142,12 @@
 void MeshBalancer::updateLoad(const std::string &Id, const EndpointLoad &Load,
                               TimePoint Now) {
   ServerState &Server = States[Id];
+  double Newest = static_cast<double>(Load.Transit.count());
+  double Mean = static_cast<double>(Server.MeanTransit.count());
+  if (Server.ReportedAt == TimePoint())
+    Mean = Newest;
+  Server.MeanTransit = Duration(
+      static_cast<int64_t>(Mean + NewestTransitWeight * (Newest - Mean)));
   Server.Load = Load;
   Server.OutstandingAtReport = Server.Outstanding;
   Server.ReportedAt = Now;
--- a/cyclamenwind/mesh/mesh_balancer.h
+++ b/cyclamenwind/mesh/mesh_balancer.h
@@ -2,8 +2,10 @@
 //
 // Chooses the server with the lowest expected time to complete the request. The
 // estimate uses the load that each server's daemon reported with its last reply
-// (running and queued requests, service time, share of failures) and the
-// requests that this daemon has outstanding there. The weight of a report
+// (running and queued requests, service time, share of failures), the requests
+// that this daemon has outstanding there, and the time that requests and their
+// responses spent on the way, which grows when a host's link or processor is
+// short. The weight of a report
 // decays with age, so a server that was slow or failing gets requests again.
 // Servers that fail requests cost more; servers named by avoid() are chosen
 // only if no other candidate is left. Does no I/O and reads no clock.
@@ -28,6 +30,14 @@
   int Slots = 0;
   Duration ServiceTime{}; // Zero if unknown.
   double FailureShare = 0;
+  // Time that the request of this report and its response spent on the way.
+  Duration Transit{};
+};
+
+// What matters of a request for the choice of a server.
+struct BalancedRequest {
+  Duration Objective{};     // Latency objective.
+  double ResponseBytes = 0; // Expected size of the response.
 };
 
 class MeshBalancer {
@@ -35,11 +45,12 @@
   MeshBalancer(std::string FailureDomain, Random &Rng)
       : FailureDomain(std::move(FailureDomain)), Rng(Rng) {}
 
-  // Chooses one of Candidates that is not in Tried for a request with the
-  // latency objective Objective; null if there is none.
+  // Chooses one of Candidates that is not in Tried for Request; null if there
+  // is none.
   const MeshEndpoint *
   choose(const std::vector<const MeshEndpoint *> &Candidates,
-         const std::set<std::string> &Tried, Duration Objective, TimePoint Now);
+         const std::set<std::string> &Tried, const BalancedRequest &Request,
+         TimePoint Now);
 
   // Count the start and the end of a request on the server Id.
   void requestStarted(const std::string &Id) { ++States[Id].Outstanding; }
@@ -66,6 +77,7 @@
     int Outstanding = 0;
     int OutstandingAtReport = 0;
     EndpointLoad Load;
+    Duration MeanTransit{};
     TimePoint ReportedAt;
     TimePoint AvoidUntil;
   };
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -33,6 +33,8 @@
 constexpr double MaxFailureShare = 0.15;
 constexpr int FirstFailureStatus = 500;
 constexpr double PermilleScale = 1000;
+// Weight of the newest response in the moving average of a route's sizes.
+constexpr double NewestSizeWeight = 0.1;
 
 HttpResponse plainResponse(int Status, std::string_view Text) {
   return {Status, {}, std::string(Text) + "\n"};
@@ -63,6 +65,14 @@
   Peers->onPeerDisconnect([this](const Address &Peer, PeerDisconnect Reason) {
     peerDisconnected(Peer, Reason);
   });
+  State->onConfig([this] {
+    std::set<std::string> Names;
+    for (const MeshRoute &Route : State->routes()->config().Routes)
+      Names.insert(Route.Name);
+    std::erase_if(MeanResponseBytes, [&Names](const auto &Entry) {
+      return Names.count(Entry.first) == 0;
+    });
+  });
   State->onEndpoint([this](const MeshEndpoint &Endpoint) {
     if (Endpoint.State == EndpointState::Ready)
       Balancer->stopAvoiding(Endpoint.Id);
@@ -138,8 +148,11 @@
   std::vector<const MeshEndpoint *> Eligible =
       State->rollouts().eligibleServers(
           TheCall.Service, State->directory().usable(TheCall.Service), *Rng);
-  return Balancer->choose(preferConnected(Eligible), TheCall.Tried,
-                          TheCall.Route->Objective, Now);
+  auto Size = MeanResponseBytes.find(TheCall.Route->Name);
+  BalancedRequest Request{TheCall.Route->Objective,
+                          Size == MeanResponseBytes.end() ? 0 : Size->second};
+  return Balancer->choose(preferConnected(Eligible), TheCall.Tried, Request,
+                          Now);
 }
 
 // Returns the candidates on this host and on connected hosts, or all candidates
@@ -274,14 +287,25 @@
   default:
     break;
   }
+  Duration Transit =
+      Now - TheAttempt.Sent - Duration(Reply.waitedUs + Reply.ranUs);
   if (Reply.limit > 0)
     Balancer->updateLoad(TheAttempt.EndpointId,
                          {Reply.running, Reply.queued, Reply.limit,
                           Duration(Reply.serviceTimeUs),
-                          Reply.failurePermille / PermilleScale},
+                          Reply.failurePermille / PermilleScale,
+                          std::max(Transit, Duration::zero())},
                          Now);
 }
 
+void OutboundProxy::noteResponseSize(const MeshRoute &Route, size_t Bytes) {
+  auto [Position, IsNew] =
+      MeanResponseBytes.emplace(Route.Name, static_cast<double>(Bytes));
+  if (!IsNew)
+    Position->second +=
+        NewestSizeWeight * (static_cast<double>(Bytes) - Position->second);
+}
+
 bool OutboundProxy::mayRetry(const Call &TheCall, bool ReachedServer,
                              bool Executed, TimePoint Now) {
   if (Now >= TheCall.ReplyBy)
@@ -318,6 +342,7 @@
   bool Failed = Reply.outcome != wire::ForwardOutcome::ANSWERED ||
                 Reply.status >= FirstFailureStatus;
   if (!Failed) {
+    noteResponseSize(*TheCall.Route, Reply.body.size());
     finishWithReply(Id, Reply);
     return;
   }
--- a/tests/mesh_balancer_test.cpp
+++ b/tests/mesh_balancer_test.cpp
@@ -26,10 +26,12 @@
 
   // How often each server is chosen in Count choices at the time Now.
   std::map<std::string, int> choices(int Count, TimePoint Now,
-                                     Duration Objective = 600ms) {
+                                     Duration Objective = 600ms,
+                                     double ResponseBytes = 400) {
     std::map<std::string, int> Result;
     for (int I = 0; I < Count; ++I)
-      ++Result[Balancer.choose(Candidates, {}, Objective, Now)->Id];
+      ++Result[Balancer.choose(Candidates, {}, {Objective, ResponseBytes}, Now)
+                   ->Id];
     return Result;
   }
 
@@ -91,9 +93,9 @@
   CHECK(LastResort["s0"] + LastResort["s1"] == 50);
   TheFleet.Balancer.stopAvoiding("s0");
   CHECK(TheFleet.choices(50, Start)["s0"] == 50);
-  CHECK(TheFleet.Balancer.choose(TheFleet.Candidates, {}, 600ms, Start) !=
+  CHECK(TheFleet.Balancer.choose(TheFleet.Candidates, {}, {600ms}, Start) !=
         nullptr);
-  CHECK(TheFleet.Balancer.choose(TheFleet.Candidates, {"s0", "s1"}, 600ms,
+  CHECK(TheFleet.Balancer.choose(TheFleet.Candidates, {"s0", "s1"}, {600ms},
                                  Start) == nullptr);
 }
 
@@ -105,10 +107,34 @@
   std::map<std::string, int> Count;
   for (int I = 0; I < 27; ++I) {
     const MeshEndpoint *Chosen =
-        TheFleet.Balancer.choose(TheFleet.Candidates, {}, 600ms, Start);
+        TheFleet.Balancer.choose(TheFleet.Candidates, {}, {600ms}, Start);
     TheFleet.Balancer.requestStarted(Chosen->Id);
     ++Count[Chosen->Id];
   }
   for (const MeshEndpoint &Server : TheFleet.Servers)
     CHECK(Count[Server.Id] >= 6);
 }
+
+TEST_CASE("saturated link: requests go where responses are not held up on the "
+          "way") {
+  Fleet TheFleet({"a", "a"});
+  EndpointLoad Saturated = load(60ms);
+  Saturated.Transit = 400ms;
+  for (int I = 0; I < 10; ++I) {
+    TheFleet.Balancer.updateLoad("s0", Saturated, Start);
+    TheFleet.Balancer.updateLoad("s1", load(60ms, 4), Start);
+  }
+  CHECK(TheFleet.choices(100, Start)["s0"] == 0);
+  CHECK(TheFleet.choices(100, Start + 20s)["s0"] > 0);
+}
+
+TEST_CASE("large responses cross to another failure domain only instead of "
+          "missing the objective, small ones to end sooner") {
+  Fleet TheFleet({"a", "b"});
+  TheFleet.Balancer.updateLoad("s0", load(400ms), Start);
+  TheFleet.Balancer.updateLoad("s1", load(50ms), Start);
+  CHECK(TheFleet.choices(100, Start, 600ms, 400)["s1"] == 100);
+  CHECK(TheFleet.choices(100, Start, 600ms, 90000)["s1"] == 0);
+  TheFleet.Balancer.updateLoad("s0", load(400ms, 9, 20), Start);
+  CHECK(TheFleet.choices(100, Start, 600ms, 90000)["s1"] == 100);
+}
