Large responses are sent in pieces, paced to the host's link

A stopping daemon waits until its replies are handed over. Tests: egress_pacer_test; peer_transport_test: a large reply is overtaken, is not delivered in part, and endless fragments close their stream only.

--- a/cyclamenwind/http/byte_stream.cpp
+++ b/cyclamenwind/http/byte_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamenwind/base/log.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -63,6 +64,8 @@
 
 ByteStream::~ByteStream() {
   *Alive = false;
+  if (Pacer != nullptr)
+    Pacer->remove(*this);
   event_free(ReadEvent);
   event_free(WriteEvent);
   event_free(FlushEvent);
@@ -156,13 +159,46 @@
   flush();
 }
 
+bool ByteStream::mustWaitForTurn() const {
+  return Pacer != nullptr && unsentBytes() > Pacer->pieceBytes();
+}
+
+// Sends at most MaxBytes of the unsent bytes; returns the result of send().
+ssize_t ByteStream::sendBytes(size_t MaxBytes) {
+  ssize_t Sent = ::send(Socket, Output.data() + SentBytes,
+                        std::min(MaxBytes, unsentBytes()), MSG_NOSIGNAL);
+  if (Sent > 0) {
+    SentAny = true;
+    SentBytes += static_cast<size_t>(Sent);
+  }
+  return Sent;
+}
+
+// The rest that fits into one piece, and errors, are left to flush(): its
+// handlers may destroy the stream.
+BulkWriter::Written ByteStream::writePiece(size_t MaxBytes) {
+  if (!mustWaitForTurn() || event_pending(WriteEvent, EV_WRITE, nullptr) != 0)
+    return {};
+  ssize_t Sent = sendBytes(MaxBytes);
+  if (Sent > 0 && mustWaitForTurn())
+    return {static_cast<size_t>(Sent), true};
+  if (Sent < 0 && isTransient(errno))
+    event_add(WriteEvent, nullptr);
+  else
+    scheduleFlush();
+  return {static_cast<size_t>(std::max<ssize_t>(Sent, 0)), false};
+}
+
 void ByteStream::flush() {
   while (SentBytes < Output.size()) {
-    ssize_t Written = ::send(Socket, Output.data() + SentBytes,
-                             Output.size() - SentBytes, MSG_NOSIGNAL);
+    if (mustWaitForTurn()) {
+      Pacer->add(*this);
+      return;
+    }
+    ssize_t Written = sendBytes(unsentBytes());
     if (Written > 0) {
-      SentAny = true;
-      SentBytes += static_cast<size_t>(Written);
+      if (Pacer != nullptr)
+        Pacer->charge(static_cast<size_t>(Written));
       continue;
     }
     if (Written < 0 && isTransient(errno))
@@ -194,6 +230,8 @@
 void ByteStream::notifyClosed(StreamCloseReason Reason) {
   event_del(ReadEvent);
   event_del(WriteEvent);
+  if (Pacer != nullptr)
+    Pacer->remove(*this);
   Handler.onClosed(Reason);
 }
 
--- a/cyclamenwind/http/byte_stream.h
+++ b/cyclamenwind/http/byte_stream.h
@@ -3,12 +3,14 @@
 // All writes of one event loop iteration are sent together at its end. The
 // kernel closes the connection if data or a connect stays unacknowledged for
 // UnacknowledgedTimeoutMs (TCP_USER_TIMEOUT), or if the peer's host does not
-// acknowledge keep-alive probes.
+// acknowledge keep-alive probes. With an EgressPacer, more than one piece of
+// unsent bytes is sent in turn with other large writes of the host.
 
 #ifndef CYCLAMENWIND_HTTP_BYTE_STREAM_H
 #define CYCLAMENWIND_HTTP_BYTE_STREAM_H
 
 #include "cyclamenwind/base/address.h"
+#include "cyclamenwind/base/egress_pacer.h"
 #include "cyclamenwind/base/loop.h"
 
 #include <memory>
@@ -36,17 +38,20 @@
   virtual void onFlushed() {}
 };
 
-class ByteStream {
+class ByteStream final : private BulkWriter {
 public:
   // Connects to To.
   ByteStream(Loop &TheLoop, StreamEventHandler &Handler, const Address &To);
   // Takes ownership of an accepted socket.
   ByteStream(Loop &TheLoop, StreamEventHandler &Handler,
              evutil_socket_t AcceptedSocket);
-  ~ByteStream();
+  ~ByteStream() override;
   ByteStream(const ByteStream &) = delete;
   ByteStream &operator=(const ByteStream &) = delete;
 
+  // Sends large writes as ThePacer permits; it must outlive this stream.
+  void paceWith(EgressPacer &ThePacer) { Pacer = &ThePacer; }
+
   void write(std::string_view Bytes);
 
   // Stops or resumes reading. While reading is paused, received bytes stay in
@@ -71,12 +76,16 @@
   void initialize(evutil_socket_t Descriptor);
   void scheduleFlush();
   void flush();
+  bool mustWaitForTurn() const;
+  ssize_t sendBytes(size_t MaxBytes);
+  Written writePiece(size_t MaxBytes) override;
   void onWritable();
   void onReadable();
   void notifyClosed(StreamCloseReason Reason);
 
   Loop &TheLoop;
   StreamEventHandler &Handler;
+  EgressPacer *Pacer = nullptr;
   evutil_socket_t Socket = -1;
   event *ReadEvent = nullptr;
   event *WriteEvent = nullptr;
--- a/cyclamenwind/http/pipeline_server.cpp
+++ b/cyclamenwind/http/pipeline_server.cpp
@@ -119,7 +119,10 @@
       : Server(Server), Stream(Server.TheLoop, *this, Socket),
         Parser(std::make_unique<MessageParser>(MessageKind::Request,
                                                Server.Limits.Parser)),
-        Peer(Stream.peerHost()), LastActivity(Server.TheLoop.now()) {}
+        Peer(Stream.peerHost()), LastActivity(Server.TheLoop.now()) {
+    if (Server.Pacer != nullptr)
+      Stream.paceWith(*Server.Pacer);
+  }
 
   ~PipelineConnection() override { disconnectExchanges(); }
 
--- a/cyclamenwind/http/pipeline_server.h
+++ b/cyclamenwind/http/pipeline_server.h
@@ -42,6 +42,10 @@
   // timeouts to all connections.
   void setLimits(const PipelineLimits &NewLimits) { Limits = NewLimits; }
 
+  // Sends large responses as ThePacer permits, on connections accepted after
+  // this call. ThePacer must outlive this server.
+  void paceWith(EgressPacer &ThePacer) { Pacer = &ThePacer; }
+
   // Closes each connection with the next response after which no request is
   // pending or partly read; closes idle connections at once if CloseIdle is
   // set.
@@ -66,6 +70,7 @@
   Loop &TheLoop;
   PipelineLimits Limits;
   ExchangeHandler Handler;
+  EgressPacer *Pacer = nullptr;
   std::unique_ptr<StreamListener> Listener;
   std::map<PipelineConnection *, std::unique_ptr<PipelineConnection>>
       Connections;
--- a/cyclamenwind/mesh/host_settings.h
+++ b/cyclamenwind/mesh/host_settings.h
@@ -33,6 +33,8 @@
   Duration RetryWindow = 10s;
 
   size_t MemoryBytes = 0; // Memory limit of the daemon; 0 if not set.
+  // Rate of the host's link; 0 if not known.
+  double LinkBytesPerSecond = 0;
   // Calls that the platform allows all daemons together.
   double WritesPerSecond = 0;
   double ReadsPerSecond = 0;
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -120,6 +120,9 @@
   Services.add(std::make_unique<PeerSync>(Adapters.Objects));
   Services.add(std::make_unique<ConfigRelay>(Adapters.Objects));
   Services.add(std::make_unique<RolloutController>());
+  if (Settings.LinkBytesPerSecond > 0)
+    Pacer = std::make_unique<EgressPacer>(TheLoop, TheLoop,
+                                          Settings.LinkBytesPerSecond);
 }
 
 MeshDaemon::~MeshDaemon() { Services.stop(); }
@@ -129,6 +132,9 @@
       TcpTransport::listen(TheLoop, Settings.Peers, peerTimings());
   if (!Transport)
     return Settings.Peers;
+  if (Pacer)
+    Transport.value()->paceWith(*Pacer);
+  Peers = Transport.value().get();
   Services.add(std::move(Transport.value()));
   Services.start();
   auto &Outbound = Services.find<OutboundProxy>("forwarder");
@@ -160,6 +166,8 @@
   MetricsServer = std::make_unique<PipelineServer>(
       TheLoop, Settings.Metrics, PipelineLimits(),
       [this](const ExchangePtr &Exchange) { answerMetrics(Exchange); });
+  if (Pacer)
+    CallerServer->paceWith(*Pacer);
   if (!CallerServer->ok())
     return Settings.Callers;
   if (!ReadyServer->ok())
@@ -238,7 +246,7 @@
 size_t MeshDaemon::unfinished() {
   return Services.find<OutboundProxy>("forwarder").active() +
          Services.find<InboundProxy>("gate").active() +
-         CallerServer->unfinished();
+         CallerServer->unfinished() + (Peers->unsentBytes() > 0 ? 1 : 0);
 }
 
 void MeshDaemon::checkDrained() {
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -11,6 +11,7 @@
 #include "cyclamenwind/mesh/host_settings.h"
 #include "cyclamenwind/mesh/local_server_registry.h"
 #include "cyclamenwind/mesh/store_sync.h"
+#include "cyclamenwind/peer/tcp_transport.h"
 #include "cyclamenwind/store/client.h"
 
 namespace cyclamenwind {
@@ -66,7 +67,9 @@
   HostSettings Settings;
   MeshAdapters Adapters;
   Random Rng;
+  std::unique_ptr<EgressPacer> Pacer; // Null if the link's rate is not known.
   Kernel Services;
+  TcpTransport *Peers = nullptr; // Owned by Services.
   std::unique_ptr<PipelineServer> CallerServer;
   std::unique_ptr<PipelineServer> ReadyServer;
   std::unique_ptr<PipelineServer> ReportServer;
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -25,6 +25,7 @@
   Hello = 1,
   Heartbeat = 2,
   Goodbye = 3,
+  Fragment = 4, // A part of a large frame; see link.h.
   // Calls.
   CallRequest = 10,
   CallReply = 11,
--- a/cyclamenwind/peer/link.cpp
+++ b/cyclamenwind/peer/link.cpp
@@ -1,5 +1,8 @@
 #include "cyclamenwind/peer/link.h"
 
+#include "cyclamenwind/base/log.h"
+
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -15,6 +18,8 @@
 constexpr size_t LengthBytes = 4;
 constexpr size_t TypeBytes = 1;
 constexpr size_t ReadBytes = 64 * 1024;
+constexpr char LastFragment = 1;
+constexpr char MoreFragments = 0;
 
 void disableNagle(evutil_socket_t Descriptor) {
   int On = 1;
@@ -31,23 +36,34 @@
   return Error == EAGAIN || Error == EWOULDBLOCK || Error == EINTR;
 }
 
+// Whether later frames may arrive before a frame of Type. A reply belongs to a
+// request by its id, and the records of a state reply are ordered by their
+// versions. A cancellation, however, must not overtake its request.
+bool mayBeOvertaken(FrameType Type) {
+  return Type == FrameType::ForwardReply || Type == FrameType::StateReply;
+}
+
 } // namespace
 
-Link::Link(Loop &TheLoop, LinkOwner &Owner, const Address &To)
-    : Peer(To), TheLoop(TheLoop), Owner(Owner), Outgoing(true) {
+Link::Link(Loop &TheLoop, LinkOwner &Owner, EgressPacer *Pacer,
+           const Address &To)
+    : Peer(To), TheLoop(TheLoop), Owner(Owner), Pacer(Pacer), Outgoing(true) {
   attachSocket(
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   startConnect(To);
 }
 
-Link::Link(Loop &TheLoop, LinkOwner &Owner, evutil_socket_t Accepted)
-    : TheLoop(TheLoop), Owner(Owner), Connected(true) {
+Link::Link(Loop &TheLoop, LinkOwner &Owner, EgressPacer *Pacer,
+           evutil_socket_t Accepted)
+    : TheLoop(TheLoop), Owner(Owner), Pacer(Pacer), Connected(true) {
   attachSocket(Accepted);
   event_add(ReadEvent, nullptr);
 }
 
 Link::~Link() {
   *Alive = false;
+  if (Pacer != nullptr)
+    Pacer->remove(*this);
   event_free(ReadEvent);
   event_free(WriteEvent);
   event_free(FlushEvent);
@@ -106,20 +122,69 @@
 }
 
 void Link::send(FrameType Type, std::string_view Payload) {
-  uint32_t Length = htonl(static_cast<uint32_t>(Payload.size() + TypeBytes));
+  if (Pacer != nullptr && mayBeOvertaken(Type) &&
+      Payload.size() > Pacer->pieceBytes()) {
+    std::string &Frame = BulkFrames.emplace_back(1, static_cast<char>(Type));
+    Frame += Payload;
+    resumeBulkFrames();
+    return;
+  }
+  addFrame(Type, "", Payload);
+  if (Pacer != nullptr)
+    Pacer->charge(LengthBytes + TypeBytes + Payload.size());
+}
+
+// Queues a frame whose payload is Prefix and then Payload.
+void Link::addFrame(FrameType Type, std::string_view Prefix,
+                    std::string_view Payload) {
+  uint32_t Length =
+      htonl(static_cast<uint32_t>(TypeBytes + Prefix.size() + Payload.size()));
   unsigned char Header[LengthBytes + TypeBytes];
   std::memcpy(Header, &Length, LengthBytes);
   Header[LengthBytes] = static_cast<unsigned char>(Type);
   evbuffer_add(Output, Header, sizeof Header);
+  evbuffer_add(Output, Prefix.data(), Prefix.size());
   evbuffer_add(Output, Payload.data(), Payload.size());
   scheduleFlush();
 }
 
-size_t Link::backlog() const { return evbuffer_get_length(Output); }
+// Asks for turns to send the bulk frames, unless what was sent before still
+// waits for the socket.
+void Link::resumeBulkFrames() {
+  if (!BulkFrames.empty() && Connected && !waitsForBufferSpace())
+    Pacer->add(*this);
+}
+
+BulkWriter::Written Link::writePiece(size_t MaxBytes) {
+  if (BulkFrames.empty() || waitsForBufferSpace())
+    return {};
+  const std::string &Frame = BulkFrames.front();
+  std::string_view Part = std::string_view(Frame).substr(BulkSent, MaxBytes);
+  bool Last = BulkSent + Part.size() == Frame.size();
+  char Flag = Last ? LastFragment : MoreFragments;
+  addFrame(FrameType::Fragment, std::string_view(&Flag, sizeof Flag), Part);
+  BulkSent += Part.size();
+  size_t Bytes = Part.size();
+  if (Last) {
+    BulkFrames.pop_front();
+    BulkSent = 0;
+  }
+  return {Bytes, !BulkFrames.empty()};
+}
+
+size_t Link::backlog() const {
+  size_t Bytes = evbuffer_get_length(Output);
+  for (const std::string &Frame : BulkFrames)
+    Bytes += Frame.size();
+  return Bytes - BulkSent;
+}
+
+bool Link::waitsForBufferSpace() const {
+  return event_pending(WriteEvent, EV_WRITE, nullptr) != 0;
+}
 
 void Link::scheduleFlush() {
-  bool WaitsForBufferSpace = event_pending(WriteEvent, EV_WRITE, nullptr) != 0;
-  if (Connected && !WaitsForBufferSpace)
+  if (Connected && !waitsForBufferSpace())
     event_active(FlushEvent, EV_TIMEOUT, 0);
 }
 
@@ -138,6 +203,7 @@
       fail();
     return;
   }
+  resumeBulkFrames();
 }
 
 void Link::readFrames() {
@@ -184,14 +250,39 @@
       return Consumed;
     Consumed += LengthBytes + Length;
     std::string_view Frame = Rest.substr(LengthBytes, Length);
-    Owner.onFrame(*this, static_cast<FrameType>(Frame[0]),
-                  Frame.substr(TypeBytes));
+    auto Type = static_cast<FrameType>(Frame[0]);
+    if (Type != FrameType::Fragment)
+      Owner.onFrame(*this, Type, Frame.substr(TypeBytes));
+    else if (!receiveFragment(Frame.substr(TypeBytes)))
+      fail();
     if (!*StillAlive)
       return Consumed;
   }
   return Consumed;
 }
 
+// Passes the frame to the owner when its last fragment has arrived. Returns
+// whether the fragment is well formed; the owner may have destroyed the link
+// then.
+bool Link::receiveFragment(std::string_view Payload) {
+  bool WellFormed =
+      Payload.size() > 1 && Fragments.size() + Payload.size() <= MaxFrameBytes;
+  if (!WellFormed) {
+    logWarning("fragment_malformed", {{"peer", Peer ? Peer->text() : ""},
+                                      {"bytes", Payload.size()},
+                                      {"before", Fragments.size()}});
+    return false;
+  }
+  Fragments += Payload.substr(1);
+  if (Payload[0] != LastFragment)
+    return true;
+  std::string Frame;
+  Frame.swap(Fragments);
+  Owner.onFrame(*this, static_cast<FrameType>(Frame[0]),
+                std::string_view(Frame).substr(TypeBytes));
+  return true;
+}
+
 void Link::fail() { Owner.dropLink(*this); }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -3,13 +3,23 @@
 // Frames sent during one iteration of the event loop are written together at
 // its end, with one system call. Received bytes are parsed in the read buffer;
 // only a frame that arrives in several reads is copied.
+//
+// With an EgressPacer, a large frame of a type that later frames may overtake
+// is sent as Fragment frames, each when the pacer gives the link a turn; other
+// frames are sent between them. The payload of a Fragment is a byte that tells
+// whether it is the last of its frame, then a part of that frame, beginning
+// with its type byte. The fragments of one frame are not mixed with those of
+// others.
 
 #ifndef CYCLAMENWIND_PEER_LINK_H
 #define CYCLAMENWIND_PEER_LINK_H
 
+#include "cyclamenwind/base/egress_pacer.h"
 #include "cyclamenwind/base/loop.h"
 #include "cyclamenwind/peer/transport.h"
 
+#include <deque>
+
 struct evbuffer;
 
 namespace cyclamenwind {
@@ -25,13 +35,14 @@
   virtual void dropLink(class Link &Closed) = 0;
 };
 
-class Link {
+class Link final : private BulkWriter {
 public:
-  // Opens a connection to To.
-  Link(Loop &TheLoop, LinkOwner &Owner, const Address &To);
-  // Takes ownership of an accepted socket.
-  Link(Loop &TheLoop, LinkOwner &Owner, evutil_socket_t Accepted);
-  ~Link();
+  // Opens a connection to To. Pacer may be null.
+  Link(Loop &TheLoop, LinkOwner &Owner, EgressPacer *Pacer, const Address &To);
+  // Takes ownership of an accepted socket. Pacer may be null.
+  Link(Loop &TheLoop, LinkOwner &Owner, EgressPacer *Pacer,
+       evutil_socket_t Accepted);
+  ~Link() override;
   Link(const Link &) = delete;
   Link &operator=(const Link &) = delete;
 
@@ -63,18 +74,28 @@
   void onWritable();
   void scheduleFlush();
   void flush();
+  bool waitsForBufferSpace() const;
+  void addFrame(FrameType Type, std::string_view Prefix,
+                std::string_view Payload);
+  void resumeBulkFrames();
+  Written writePiece(size_t MaxBytes) override;
   void readFrames();
   size_t parseFrames(std::string_view Bytes);
+  bool receiveFragment(std::string_view Payload);
   void fail();
 
   Loop &TheLoop;
   LinkOwner &Owner;
+  EgressPacer *Pacer;
   evutil_socket_t Socket = -1;
   event *ReadEvent = nullptr;
   event *WriteEvent = nullptr;
   event *FlushEvent = nullptr;
   evbuffer *Output = nullptr;
-  std::string PartialFrame; // Received bytes of an incomplete frame.
+  std::deque<std::string> BulkFrames; // Type byte and payload of each.
+  size_t BulkSent = 0;                // Bytes of the first bulk frame sent.
+  std::string PartialFrame;           // Received bytes of an incomplete frame.
+  std::string Fragments; // Received part of a frame sent in fragments.
   bool Connected = false;
   bool Outgoing = false;
   bool ConnectFailed = false;
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -165,6 +165,14 @@
   return Result;
 }
 
+size_t TcpTransport::unsentBytes() const {
+  size_t Bytes = 0;
+  for (const auto &[Open, Owned] : Links)
+    if (Open->connected())
+      Bytes += Open->backlog();
+  return Bytes;
+}
+
 FrameCount TcpTransport::sent(FrameType Type) const {
   return SentCounts[indexOf(Type)];
 }
@@ -173,8 +181,8 @@
   auto Found = ActiveLinks.find(To);
   if (Found != ActiveLinks.end())
     return *Found->second;
-  auto Created =
-      std::make_unique<Link>(TheLoop, static_cast<LinkOwner &>(*this), To);
+  auto Created = std::make_unique<Link>(
+      TheLoop, static_cast<LinkOwner &>(*this), Pacer, To);
   Link *TheLink = Created.get();
   Links[TheLink] = std::move(Created);
   ActiveLinks[To] = TheLink;
@@ -194,8 +202,9 @@
 void TcpTransport::onAccept(evconnlistener *, evutil_socket_t Descriptor,
                             sockaddr *, int, void *Self) {
   auto *Transport = static_cast<TcpTransport *>(Self);
-  auto Created = std::make_unique<Link>(
-      Transport->TheLoop, static_cast<LinkOwner &>(*Transport), Descriptor);
+  auto Created = std::make_unique<Link>(Transport->TheLoop,
+                                        static_cast<LinkOwner &>(*Transport),
+                                        Transport->Pacer, Descriptor);
   Link *TheLink = Created.get();
   Transport->Links[TheLink] = std::move(Created);
   Transport->LastUsed[TheLink] = Transport->TheLoop.now();
--- a/cyclamenwind/peer/tcp_transport.h
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -52,6 +52,13 @@
   std::string_view name() const override { return "peers"; }
   void start(Kernel &TheKernel) override;
 
+  // Sends large frames as Pacer permits, on streams opened from now on. Pacer
+  // must outlive this transport.
+  void paceWith(EgressPacer &ThePacer) { Pacer = &ThePacer; }
+
+  // Bytes of frames that were not yet handed to the kernel.
+  size_t unsentBytes() const;
+
   // Stops accepting streams and closes all open ones by handshake.
   void leave();
   // Number of open streams.
@@ -99,6 +106,7 @@
   Loop &TheLoop;
   Address Self;
   PeerTimings Timings;
+  EgressPacer *Pacer = nullptr;
   evconnlistener *Listener = nullptr;
   evutil_socket_t DatagramSocket = -1;
   event *DatagramEvent = nullptr;
--- /dev/null
+++ b/tests/egress_pacer_test.cpp
@@ -0,0 +1,119 @@
+// Large and small writes on a slow link, in virtual time.
+
+#include "cyclamenwind/base/egress_pacer.h"
+#include "testing/virtual_time.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::literals;
+using namespace cyclamenwind::testing;
+
+namespace {
+
+constexpr double LinkBytesPerSecond = 1250000; // 10 Mbit/s.
+
+// A link that sends what it is given in order.
+class SimulatedLink {
+public:
+  explicit SimulatedLink(VirtualTime &Time) : Time(Time) {}
+
+  // Returns when the last of Bytes has been sent.
+  TimePoint write(size_t Bytes) {
+    FreeAt = std::max(FreeAt, Time.now()) +
+             Duration(static_cast<int64_t>(double(Bytes) / LinkBytesPerSecond *
+                                           1e6));
+    return FreeAt;
+  }
+
+private:
+  VirtualTime &Time;
+  TimePoint FreeAt;
+};
+
+class Download final : public BulkWriter {
+public:
+  Download(SimulatedLink &Link, size_t Bytes) : Link(Link), Left(Bytes) {}
+
+  Written writePiece(size_t MaxBytes) override {
+    size_t Bytes = std::min(Left, MaxBytes);
+    Left -= Bytes;
+    SentAt = Link.write(Bytes);
+    return {Bytes, Left > 0};
+  }
+
+  SimulatedLink &Link;
+  size_t Left;
+  TimePoint SentAt;
+};
+
+} // namespace
+
+TEST_CASE("downloads to many callers: small answers do not wait behind them") {
+  VirtualTime Time;
+  SimulatedLink Link(Time);
+  EgressPacer Pacer(Time, Time, LinkBytesPerSecond);
+  constexpr size_t DownloadBytes = 540 * 1000;
+  constexpr int Downloads = 5;
+  std::vector<std::unique_ptr<Download>> All;
+  for (int I = 0; I < Downloads; ++I) {
+    All.push_back(std::make_unique<Download>(Link, DownloadBytes));
+    Pacer.add(*All.back());
+  }
+  Duration LongestDelay{};
+  size_t SmallBytes = 0;
+  auto Done = [&] {
+    return std::all_of(All.begin(), All.end(),
+                       [](const auto &Each) { return Each->Left == 0; });
+  };
+  while (!Done() && Time.now() < TimePoint(10s)) {
+    constexpr size_t Answer = 400;
+    Pacer.charge(Answer);
+    SmallBytes += Answer;
+    LongestDelay = std::max(LongestDelay, Link.write(Answer) - Time.now());
+    Time.advance(10ms);
+  }
+  REQUIRE(Done());
+  // Without pacing the delay is that of all downloads together, 2.2 s. Two
+  // pieces may be in the link's queue.
+  INFO("longest delay of a small answer: " << milliseconds(LongestDelay)
+                                           << " ms");
+  CHECK(LongestDelay <= 30ms);
+  double Bytes = double(Downloads * DownloadBytes + SmallBytes);
+  Duration AtFullRate(static_cast<int64_t>(Bytes / LinkBytesPerSecond * 1e6));
+  TimePoint LastSent;
+  for (const auto &Each : All)
+    LastSent = std::max(LastSent, Each->SentAt);
+  CHECK(LastSent <= TimePoint(AtFullRate * 5 / 4));
+}
+
+TEST_CASE("downloads take turns: a short one does not wait for a long one") {
+  VirtualTime Time;
+  SimulatedLink Link(Time);
+  EgressPacer Pacer(Time, Time, LinkBytesPerSecond);
+  Download Long(Link, 5000 * 1000);
+  Download Short(Link, 50 * 1000);
+  Pacer.add(Long);
+  Time.advance(100ms);
+  Pacer.add(Short);
+  Pacer.add(Short);
+  Time.advance(200ms);
+  CHECK(Short.Left == 0);
+  CHECK(Long.Left > 0);
+  Pacer.remove(Long);
+  size_t Left = Long.Left;
+  Time.advance(1s);
+  CHECK(Long.Left == Left);
+}
+
+TEST_CASE("small writes above the link's rate delay large ones") {
+  EgressBudget Budget(LinkBytesPerSecond);
+  TimePoint Start(1000s);
+  CHECK(Budget.timeUntilPiece(Start) == Duration::zero());
+  Budget.charge(1250000, Start);
+  CHECK(Budget.timeUntilPiece(Start) >= 1s);
+  CHECK(Budget.timeUntilPiece(Start) <= 1200ms);
+  CHECK(Budget.timeUntilPiece(Start + 1200ms) == Duration::zero());
+}
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -20,6 +20,10 @@
                       [this](const Address &, std::string_view Payload) {
                         Received.emplace_back(Payload);
                       });
+    Transport->handle(FrameType::ForwardReply,
+                      [this](const Address &, std::string_view Payload) {
+                        Received.emplace_back(Payload);
+                      });
     Transport->onPeerDisconnect([this](const Address &, PeerDisconnect Reason) {
       Disconnects.push_back(Reason);
     });
@@ -140,3 +144,81 @@
   CHECK(runUntil(TheLoop, [&] { return Bad.Ended; }));
   CHECK(A.Disconnects.empty());
 }
+
+TEST_CASE("a large reply is sent in fragments, and small frames overtake it") {
+  Loop TheLoop;
+  // 4 Mbit/s: the reply takes about 1.2 s.
+  EgressPacer Pacer(TheLoop, TheLoop, 500000);
+  Peer A(TheLoop, 8201);
+  Peer B(TheLoop, 8202);
+  A.Transport->paceWith(Pacer);
+  std::string Large(540000, 'x');
+  for (size_t I = 0; I < Large.size(); ++I)
+    Large[I] = static_cast<char>(I * 31 / 7);
+  TimePoint Start = TheLoop.now();
+  A.Transport->send(B.Self, FrameType::ForwardReply, Large);
+  A.send(B, "first");
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 1; }));
+  CHECK(B.Received[0] == "first");
+  CHECK(A.Transport->unsentBytes() > Large.size() / 2);
+  A.send(B, "second");
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 2; }));
+  CHECK(B.Received[1] == "second");
+  CHECK(TheLoop.now() - Start < 500ms);
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 3; }));
+  CHECK(B.Received[2] == Large);
+  CHECK(A.Transport->unsentBytes() == 0);
+  CHECK(A.Disconnects.empty());
+}
+
+TEST_CASE("frames that must keep their order are not overtaken") {
+  Loop TheLoop;
+  EgressPacer Pacer(TheLoop, TheLoop, 500000);
+  Peer A(TheLoop, 8201);
+  Peer B(TheLoop, 8202);
+  A.Transport->paceWith(Pacer);
+  std::string Large(100000, 'x');
+  A.send(B, Large);
+  A.send(B, "cancel");
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 2; }));
+  CHECK(B.Received[0] == Large);
+}
+
+TEST_CASE("a stream that is lost midway delivers no part of a large reply") {
+  Loop TheLoop;
+  EgressPacer Pacer(TheLoop, TheLoop, 500000);
+  Peer A(TheLoop, 8201);
+  Peer B(TheLoop, 8202);
+  A.Transport->paceWith(Pacer);
+  A.Transport->send(B.Self, FrameType::ForwardReply, std::string(540000, 'x'));
+  A.send(B, "first");
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 1; }));
+  A.Transport->reconnect(B.Self);
+  A.Transport->send(B.Self, FrameType::ForwardReply, std::string(20000, 'y'));
+  REQUIRE(runUntil(TheLoop, [&] { return B.Received.size() == 2; }));
+  CHECK(B.Received[1] == std::string(20000, 'y'));
+}
+
+TEST_CASE("fragments that are empty or without end close their stream only") {
+  Loop TheLoop;
+  Peer A(TheLoop, 8201);
+  Peer Sound(TheLoop, 8203);
+  // Frames as Link writes them: length, type and payload.
+  auto Frame = [](FrameType Type, const std::string &Payload) {
+    uint32_t Length = htonl(static_cast<uint32_t>(Payload.size() + 1));
+    std::string Bytes(reinterpret_cast<const char *>(&Length), sizeof Length);
+    return Bytes + static_cast<char>(Type) + Payload;
+  };
+  bool Endless = GENERATE(false, true);
+  RawStream Bad(TheLoop, A.Self);
+  if (!Endless) {
+    Bad.write(Frame(FrameType::Fragment, std::string(1, '\1')));
+  } else {
+    std::string Part = Frame(FrameType::Fragment, std::string(1 << 20, '\0'));
+    for (int I = 0; I < 20; ++I)
+      Bad.write(Part);
+  }
+  Sound.send(A, "x");
+  CHECK(runUntil(TheLoop, [&] { return Bad.Ended; }));
+  CHECK(runUntil(TheLoop, [&] { return A.Received.size() == 1; }));
+}
