Fewer calls to the platform: four watchers of the configuration, cheaper starts, quiet outages

Change: four relays, in different failure domains, watch the configuration and send patches to the relays of the others; a watcher that cannot reach the platform says so and is replaced, and those who hear it do not all call. Listings at the first start of all, and of rollouts, may be stale. Failed periodic listings wait for their period. A write without an answer is tried again instead of read back first. Tests: calls in virtual time on 24 and 96 hosts, in an outage, with all watchers turned away, and with all watchers ended.

--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -14,6 +14,10 @@
 // relay that announced nothing for longer, because a configuration must be
 // applied within two seconds of its acceptance.
 constexpr Duration RelayTimeout = 4500ms;
+// Time for which a daemon lets the relays alone try to reach the platform, and
+// its random variation. The relays may be turned away while others are served.
+constexpr Duration UnreachablePatience = 15s;
+constexpr double PatienceJitter = 0.5;
 
 } // namespace
 
@@ -30,39 +34,66 @@
       [this](uint64_t PreviousRevision, std::string_view PreviousText) {
         configChanged(PreviousRevision, PreviousText);
       });
-  Store->ConfigIsRelayed = [this] {
-    return relayAnnouncedWithin(RelayTimeout);
+  Store->ConfigIsRelayed = [this] { return isRelayed(); };
+  Store->CannotReachPlatform = [this](const Address &Peer) {
+    auto Found = LastAnnounced.find(Peer);
+    return Found != LastAnnounced.end() &&
+           Found->second.Source == wire::RelaySource::UNREACHABLE &&
+           Time->now() - Found->second.ReceivedAt < RelayTimeout;
   };
+  Patience = TheKernel.random().jittered(UnreachablePatience, PatienceJitter);
+  LastUpToDate = Time->now();
   AnnounceTimer =
       TheKernel.scheduler().every(AnnouncePeriod, [this] { tick(); });
 }
 
-bool ConfigRelay::relayAnnouncedWithin(Duration Span) const {
+// A relay relies only on watchers: two relays must not rely on each other.
+bool ConfigRelay::isRelayed() const {
   TimePoint Now = Time->now();
-  return std::any_of(
-      LastAnnounced.begin(), LastAnnounced.end(),
-      [&](const auto &Entry) { return Now - Entry.second < Span; });
+  bool NeedsWatcher = Store->isRelay();
+  bool HasSource = false;
+  bool HearsOfOutage = false;
+  for (const auto &[Peer, Last] : LastAnnounced) {
+    if (Now - Last.ReceivedAt >= RelayTimeout)
+      continue;
+    HasSource |= Last.Source == wire::RelaySource::PLATFORM ||
+                 (Last.Source == wire::RelaySource::RELAY && !NeedsWatcher);
+    HearsOfOutage |= Last.Source == wire::RelaySource::UNREACHABLE;
+  }
+  return HasSource || (HearsOfOutage && Now - LastUpToDate < Patience);
 }
 
-// Whether a relay with a lower address is active and sends the patches.
+// Whether a relay of this failure domain with a lower address is active and
+// sends the patches.
 bool ConfigRelay::hasEarlierRelay() const {
   TimePoint Now = Time->now();
+  std::set<Address> DomainPeers = Store->domainPeers();
   return std::any_of(
       LastAnnounced.begin(), LastAnnounced.end(), [&](const auto &Entry) {
-        return Entry.first < Peers->self() && Now - Entry.second < RelayTimeout;
+        const auto &[Peer, Last] = Entry;
+        return Peer < Peers->self() && DomainPeers.count(Peer) != 0 &&
+               Last.Source != wire::RelaySource::UNREACHABLE &&
+               Now - Last.ReceivedAt < RelayTimeout;
       });
 }
 
-bool ConfigRelay::isActiveRelay() const {
-  return Store->isRelay() && Store->configReachable();
+// How this daemon learns of changes, if it is to announce them.
+std::optional<wire::RelaySource::type> ConfigRelay::source() const {
+  bool IsWatcher = Store->isConfigWatcher();
+  if (!IsWatcher && !Store->isRelay())
+    return std::nullopt;
+  if (!IsWatcher && isRelayed())
+    return wire::RelaySource::RELAY;
+  return Store->configReachable() ? wire::RelaySource::PLATFORM
+                                  : wire::RelaySource::UNREACHABLE;
 }
 
 void ConfigRelay::configChanged(uint64_t PreviousRevision,
                                 std::string_view PreviousText) {
-  if (!isActiveRelay())
+  if (!source())
     return;
   std::string Patch;
-  if (PreviousRevision != 0 && !hasEarlierRelay())
+  if (PreviousRevision != 0)
     Patch = makePatch(PreviousText, State->configText());
   push(Patch, PreviousRevision);
 }
@@ -70,21 +101,30 @@
 void ConfigRelay::tick() {
   TimePoint Now = Time->now();
   std::erase_if(LastAnnounced, [Now](const auto &Entry) {
-    return Now - Entry.second >= RelayTimeout;
+    return Now - Entry.second.ReceivedAt >= RelayTimeout;
   });
-  if (isActiveRelay())
-    push("", 0);
+  push("", 0);
 }
 
 void ConfigRelay::push(const std::string &Patch, uint64_t BaseRevision) {
+  std::optional<wire::RelaySource::type> Source = source();
+  if (!Source)
+    return;
   wire::ConfigPush Message;
   Message.revision = static_cast<int64_t>(State->configRevision());
   Message.baseRevision = static_cast<int64_t>(BaseRevision);
   Message.patch = Patch;
-  std::string Payload = encodeMessage(Message);
+  Message.source = *Source;
+  std::string WithPatch = encodeMessage(Message);
+  Message.patch.clear();
+  std::string WithoutPatch = encodeMessage(Message);
+  const std::string &ToDomain = hasEarlierRelay() ? WithoutPatch : WithPatch;
   for (const Address &Peer : Store->domainPeers())
     if (Peers->isConnected(Peer))
-      Peers->send(Peer, FrameType::ConfigPush, Payload);
+      Peers->send(Peer, FrameType::ConfigPush, ToDomain);
+  if (Store->isConfigWatcher())
+    for (const Address &Relay : Store->remoteRelays())
+      Peers->send(Relay, FrameType::ConfigPush, WithPatch);
 }
 
 void ConfigRelay::receive(const Address &From, std::string_view Payload) {
@@ -96,7 +136,9 @@
   }
   const wire::ConfigPush &Message = Decoded.value();
   auto Revision = static_cast<uint64_t>(Message.revision);
-  LastAnnounced[From] = Time->now();
+  LastAnnounced[From] = {Time->now(), Message.source};
+  if (Message.source != wire::RelaySource::UNREACHABLE)
+    LastUpToDate = Time->now();
   if (Revision <= State->configRevision())
     return;
   bool Applies =
--- a/cyclamenwind/mesh/config_relay.h
+++ b/cyclamenwind/mesh/config_relay.h
@@ -1,13 +1,18 @@
-// ConfigRelay: sends the configuration from the relays of a failure domain to
-// its other daemons.
+// ConfigRelay: sends the configuration from the few daemons that watch it on
+// the platform to all others.
 //
-// The relays of a failure domain (store_sync.h) watch the configuration on the
-// platform. The relay with the lowest address sends each change to the other
-// daemons as a patch of the previous configuration. Every relay that reaches
-// the platform announces its revision every AnnouncePeriod and at each change.
-// A daemon that receives no announcement within RelayTimeout watches the
-// platform itself; one that missed a patch sees that its revision is older and
-// requests the configuration (peer_sync.h).
+// The configuration watchers (store_sync.h) send each change as a patch of the
+// previous configuration to the relays of the other failure domains. In each
+// failure domain, the relay with the lowest address sends it to the other
+// daemons. Watchers and relays announce their revision and its source every
+// AnnouncePeriod and at each change.
+//
+// A relay that hears from no watcher within RelayTimeout, and any other daemon
+// that hears from no relay, watches the platform itself; one that missed a
+// patch sees that its revision is older and requests the configuration
+// (peer_sync.h). A watcher that cannot reach the platform says so. It is
+// replaced then, and the daemons that hear of it do not all call the platform
+// at once: in an outage they would learn nothing.
 
 #ifndef CYCLAMENWIND_MESH_CONFIG_RELAY_H
 #define CYCLAMENWIND_MESH_CONFIG_RELAY_H
@@ -15,6 +20,7 @@
 #include "cyclamenwind/mesh/mesh_state.h"
 #include "cyclamenwind/mesh/store_sync.h"
 #include "cyclamenwind/peer/transport.h"
+#include "cyclamenwind/wire/gen-cpp/mesh_types.h"
 
 namespace cyclamenwind {
 
@@ -32,17 +38,25 @@
   void tick();
   void push(const std::string &Patch, uint64_t BaseRevision);
   void receive(const Address &From, std::string_view Payload);
-  bool isActiveRelay() const;
-  bool relayAnnouncedWithin(Duration Span) const;
+  bool isRelayed() const;
   bool hasEarlierRelay() const;
+  std::optional<wire::RelaySource::type> source() const;
 
   const MeshCodec &Codec;
   Clock *Time = nullptr;
   MeshState *State = nullptr;
   StoreSync *Store = nullptr;
   PeerTransport *Peers = nullptr;
-  // When the last announcement of each relay of this failure domain arrived.
-  std::map<Address, TimePoint> LastAnnounced;
+  struct Announcement {
+    TimePoint ReceivedAt;
+    wire::RelaySource::type Source;
+  };
+  // The last announcement of each watcher and relay.
+  std::map<Address, Announcement> LastAnnounced;
+  // When the last one from a daemon that is up to date arrived.
+  TimePoint LastUpToDate;
+  // This daemon's value of UnreachablePatience.
+  Duration Patience{};
   TimerHandle AnnounceTimer;
 };
 
--- a/cyclamenwind/mesh/host_settings.h
+++ b/cyclamenwind/mesh/host_settings.h
@@ -32,6 +32,9 @@
   double RetryExtra = 0;
   Duration RetryWindow = 10s;
 
+  // Whether the whole mesh starts for the first time.
+  bool FirstStart = false;
+
   size_t MemoryBytes = 0; // Memory limit of the daemon; 0 if not set.
   // Rate of the host's link; 0 if not known.
   double LinkBytesPerSecond = 0;
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -114,7 +114,8 @@
           {Settings.RetryRatio, Settings.RetryExtra, Settings.RetryWindow}},
       Adapters.Headers));
   Services.add(std::make_unique<StoreSync>(Client, Adapters.Objects,
-                                           Settings.FailureDomain));
+                                           Settings.FailureDomain,
+                                           Settings.FirstStart));
   Services.add(std::make_unique<LocalServerRegistry>(
       LocalServerRegistryOptions{Settings.Peers, Settings.ReportPeriod}));
   Services.add(std::make_unique<PeerSync>(Adapters.Objects));
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -3,6 +3,7 @@
 #include "cyclamenwind/base/backoff.h"
 #include "cyclamenwind/base/log.h"
 
+#include <algorithm>
 #include <set>
 
 namespace cyclamenwind {
@@ -20,11 +21,22 @@
 constexpr Duration EndpointCollectDelay = 1s;
 // Two, so that one may be down.
 constexpr size_t RelaysPerDomain = 2;
+// Relays that watch the configuration. Several, because a change must be
+// noticed in time although some of them are cut off, and no more, because each
+// of them makes a call per change.
+constexpr size_t ConfigWatchers = 4;
+// How soon another daemon takes over from a watcher that is gone; a part of the
+// two seconds in which a configuration must be applied.
+constexpr Duration WatcherCheckPeriod = 500ms;
+// A daemon that starts with a configuration hears from the relays within this
+// time, and does not watch the platform before.
+constexpr Duration RelayWait = 2500ms;
 
 } // namespace
 
 void StoreSync::start(Kernel &TheKernel) {
   Time = &TheKernel.clock();
+  StartedAt = Time->now();
   Timers = &TheKernel.scheduler();
   Rng = &TheKernel.random();
   State = &TheKernel.find<MeshState>("mesh_state");
@@ -91,16 +103,23 @@
   EndpointWatch->start();
 }
 
-// A daemon that is not a relay watches the configuration only while it receives
-// no announcements of relays.
+// A daemon that is not a configuration watcher watches the configuration only
+// while it receives no announcements of relays.
+WatchMode StoreSync::configWatchMode() const {
+  bool HasStartingPoint = FirstStart || State->routes() != nullptr;
+  if (HasStartingPoint && Time->now() - StartedAt < RelayWait)
+    return WatchMode::Pushed;
+  bool Relayed = ConfigIsRelayed && ConfigIsRelayed() && !isConfigWatcher();
+  return Relayed ? WatchMode::Pushed : WatchMode::Watch;
+}
+
 PrefixWatchOptions StoreSync::configWatchOptions() {
   PrefixWatchOptions Options;
   Options.Prefix = Codec.configPrefix();
   Options.Collect = ConfigCollectDelay;
-  Options.Mode = [this] {
-    bool Relayed = ConfigIsRelayed && ConfigIsRelayed() && !isRelay();
-    return Relayed ? WatchMode::Pushed : WatchMode::Watch;
-  };
+  Options.StartStale = FirstStart;
+  Options.ModePollPeriod = WatcherCheckPeriod;
+  Options.Mode = [this] { return configWatchMode(); };
   return Options;
 }
 
@@ -112,6 +131,10 @@
   PrefixWatchOptions Options;
   Options.Prefix = Prefix;
   Options.Collect = Collect;
+  // A new process must know all that an earlier one acknowledged about its
+  // server. A rollout that is seconds old does no harm: the daemons beside a
+  // bad version's servers refuse requests to them.
+  Options.StartStale = FirstStart || Prefix == Codec.rolloutPrefix();
   Options.Mode = [this, NonRelayMode] {
     bool Watches = NonRelayMode == WatchMode::ListStale && isRelay();
     return Watches ? WatchMode::WatchStale : NonRelayMode;
@@ -119,14 +142,58 @@
   return Options;
 }
 
-// The relays of a failure domain are its RelaysPerDomain connected daemons with
-// the lowest addresses.
+// By failure domain, the addresses of this daemon and of the connected daemons
+// that may be relays, in ascending order.
+std::map<std::string, std::vector<Address>> StoreSync::relayCandidates() const {
+  std::map<std::string, std::set<Address>> Sorted;
+  Sorted[FailureDomain].insert(Peers->self());
+  for (const auto &[Id, Endpoint] : State->directory().all()) {
+    const Address &Daemon = Endpoint.DaemonAddress;
+    if (Endpoint.State != EndpointState::Gone && Daemon != Peers->self() &&
+        Peers->isConnected(Daemon) &&
+        !(CannotReachPlatform && CannotReachPlatform(Daemon)))
+      Sorted[Endpoint.FailureDomain].insert(Daemon);
+  }
+  std::map<std::string, std::vector<Address>> Result;
+  for (const auto &[Domain, Daemons] : Sorted)
+    Result[Domain].assign(Daemons.begin(), Daemons.end());
+  return Result;
+}
+
+// The relays of a failure domain are its RelaysPerDomain candidates with the
+// lowest addresses.
 bool StoreSync::isRelay() const {
-  size_t LowerPeers = 0;
-  for (const Address &Peer : domainPeers())
-    if (Peer < Peers->self() && Peers->isConnected(Peer))
-      ++LowerPeers;
-  return LowerPeers < RelaysPerDomain;
+  std::vector<Address> Candidates = relayCandidates()[FailureDomain];
+  size_t Relays = std::min(RelaysPerDomain, Candidates.size());
+  return std::find(Candidates.begin(), Candidates.begin() + Relays,
+                   Peers->self()) != Candidates.begin() + Relays;
+}
+
+// The watchers are the first relays of all failure domains, then the second
+// ones, up to ConfigWatchers.
+bool StoreSync::isConfigWatcher() const {
+  std::map<std::string, std::vector<Address>> Candidates = relayCandidates();
+  size_t Watchers = 0;
+  for (size_t Rank = 0; Rank < RelaysPerDomain; ++Rank)
+    for (const auto &[Domain, Daemons] : Candidates) {
+      if (Rank >= Daemons.size())
+        continue;
+      if (Daemons[Rank] == Peers->self())
+        return true;
+      if (++Watchers == ConfigWatchers)
+        return false;
+    }
+  return false;
+}
+
+std::vector<Address> StoreSync::remoteRelays() const {
+  std::vector<Address> Result;
+  for (const auto &[Domain, Daemons] : relayCandidates())
+    if (Domain != FailureDomain)
+      Result.insert(Result.end(), Daemons.begin(),
+                    Daemons.begin() +
+                        std::min(RelaysPerDomain, Daemons.size()));
+  return Result;
 }
 
 // Called after a call without an answer: the watch calls that were pending at
@@ -392,9 +459,10 @@
     logWarning("endpoint_write_failed",
                {{"server", Id}, {"error", nameOf(Outcome.error())}});
     onPlatformError(Outcome.error());
+    // After NoAnswer the same write is tried again; if the first one succeeded,
+    // the second one conflicts.
     if (Outcome.error() == PlatformError::Conflict ||
-        Outcome.error() == PlatformError::NotFound ||
-        Outcome.error() == PlatformError::NoAnswer)
+        Outcome.error() == PlatformError::NotFound)
       readBack(Id);
     else
       retryLater(Id);
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -13,6 +13,11 @@
 // relays also list records and rollouts, at intervals that grow to
 // PrefixWatchOptions::MaxListPeriod.
 //
+// The configuration is watched by a few of the relays, in different failure
+// domains as far as possible; config_relay.h describes how it reaches the other
+// daemons. A relay that cannot reach the platform says so, and the next daemon
+// of its failure domain is a relay in its place.
+//
 // Objects on the platform do not expire. The record of a server that left is
 // removed by the daemon that published it; records of a host that died without
 // deregistering are removed as peer_sync.h describes.
@@ -54,10 +59,12 @@
 // A service named "store_sync".
 class StoreSync final : public Service, public EndpointPublisher {
 public:
+  // FirstStart: the whole mesh starts for the first time, so that the platform
+  // holds no records yet and listings at the start may be seconds old.
   StoreSync(PlatformClient &Platform, const MeshCodec &Codec,
-            std::string FailureDomain)
+            std::string FailureDomain, bool FirstStart = false)
       : Platform(Platform), Codec(Codec),
-        FailureDomain(std::move(FailureDomain)) {}
+        FailureDomain(std::move(FailureDomain)), FirstStart(FirstStart) {}
 
   std::string_view name() const override { return "store_sync"; }
   void start(Kernel &TheKernel) override;
@@ -79,12 +86,21 @@
   // Whether this daemon is one of the relays of its failure domain.
   bool isRelay() const;
 
+  // Whether it is one of the relays that watch the configuration.
+  bool isConfigWatcher() const;
+
+  // The relays of the other failure domains that are connected.
+  std::vector<Address> remoteRelays() const;
+
   // Called when a relay's patch has given the configuration of Revision.
   void onConfigPushed(uint64_t Revision);
 
   // Returns whether relays keep this daemon's configuration up to date. Set by
   // ConfigRelay.
   std::function<bool()> ConfigIsRelayed;
+  // Returns whether Peer has announced that it cannot reach the platform. Set
+  // by ConfigRelay.
+  std::function<bool(const Address &Peer)> CannotReachPlatform;
 
   // The other daemons of this failure domain.
   std::set<Address> domainPeers() const;
@@ -126,6 +142,8 @@
   void onUnreadableRecord(const PlatformObject &Object);
   void flushAnnouncements();
   void announceEndpoint(const PlatformObject &Object);
+  std::map<std::string, std::vector<Address>> relayCandidates() const;
+  WatchMode configWatchMode() const;
   PrefixWatchOptions configWatchOptions();
   PrefixWatchOptions staleWatchOptions(const std::string &Prefix,
                                        Duration Collect,
@@ -145,6 +163,8 @@
   PlatformClient &Platform;
   const MeshCodec &Codec;
   std::string FailureDomain;
+  bool FirstStart;
+  TimePoint StartedAt;
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
   Random *Rng = nullptr;
--- a/cyclamenwind/store/prefix_watch.cpp
+++ b/cyclamenwind/store/prefix_watch.cpp
@@ -61,6 +61,10 @@
     startWatch(Mode == WatchMode::WatchStale);
     return;
   }
+  scheduleListing();
+}
+
+void PrefixWatch::scheduleListing() {
   NextListPeriod = std::clamp(2 * NextListPeriod, Options.InitialListPeriod,
                               Options.MaxListPeriod);
   NextCallTimer =
@@ -122,6 +126,14 @@
     Suspended = true;
     return;
   }
+  // Periodic listings only complement what the owner learns by other means, and
+  // a fleet makes many of them.
+  if (HasListing && Options.Mode && Options.Mode() == WatchMode::ListStale) {
+    if (Failures == 1)
+      NextListPeriod = Duration::zero();
+    scheduleListing();
+    return;
+  }
   NextCallTimer =
       Timers.after(backoffDelay(Failures, BackoffBase, BackoffLimit, Rng),
                    [this] { startNextCall(); });
--- a/cyclamenwind/store/prefix_watch.h
+++ b/cyclamenwind/store/prefix_watch.h
@@ -39,8 +39,11 @@
   Duration StaleWait = 4s;
   // Pause between a watch that returned changes and the next watch.
   Duration Collect = 200ms;
+  // Whether the first listing may be seconds old.
+  bool StartStale = false;
   // Time between listings in WatchMode::ListStale. It doubles from the initial
-  // to the maximum period, since most changes occur while a fleet starts.
+  // to the maximum period, since most changes occur while a fleet starts. After
+  // a failure it begins anew.
   Duration InitialListPeriod = 1500ms;
   Duration MaxListPeriod = 15s;
   // How often Mode is called in WatchMode::Pushed.
@@ -71,7 +74,7 @@
   PrefixWatch(const PrefixWatch &) = delete;
   PrefixWatch &operator=(const PrefixWatch &) = delete;
 
-  void start() { list(/*Stale=*/false); }
+  void start() { list(Options.StartStale); }
 
   // Retries now if the watch was suspended because MayRetry returned false.
   void resume();
@@ -98,6 +101,7 @@
 private:
   void list(bool Stale);
   void continueWatch();
+  void scheduleListing();
   void onListFinished(Result<PlatformListing, PlatformError> Outcome);
   void startWatch(bool Stale);
   void onWatchFinished(Result<WatchBatch, PlatformError> Outcome);
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -44,6 +44,37 @@
   }
 }
 
+int _kRelaySourceValues[] = {
+  RelaySource::PLATFORM,
+  RelaySource::RELAY,
+  RelaySource::UNREACHABLE
+};
+const char* _kRelaySourceNames[] = {
+  "PLATFORM",
+  "RELAY",
+  "UNREACHABLE"
+};
+const std::map<int, const char*> _RelaySource_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kRelaySourceValues, _kRelaySourceNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RelaySource::type& val) {
+  std::map<int, const char*>::const_iterator it = _RelaySource_VALUES_TO_NAMES.find(val);
+  if (it != _RelaySource_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RelaySource::type& val) {
+  std::map<int, const char*>::const_iterator it = _RelaySource_VALUES_TO_NAMES.find(val);
+  if (it != _RelaySource_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 ForwardRequest::~ForwardRequest() noexcept {
 }
@@ -1751,6 +1782,10 @@
 void ConfigPush::__set_patch(const std::string& val) {
   this->patch = val;
 }
+
+void ConfigPush::__set_source(const RelaySource::type val) {
+  this->source = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
 {
   obj.printTo(out);
@@ -1803,6 +1838,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast53;
+          xfer += iprot->readI32(ecast53);
+          this->source = static_cast<RelaySource::type>(ecast53);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1832,6 +1877,10 @@
   xfer += oprot->writeBinary(this->patch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->source));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1842,41 +1891,47 @@
   swap(a.revision, b.revision);
   swap(a.baseRevision, b.baseRevision);
   swap(a.patch, b.patch);
+  swap(a.source, b.source);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other53) {
-  revision = other53.revision;
-  baseRevision = other53.baseRevision;
-  patch = other53.patch;
-  __isset = other53.__isset;
-}
-ConfigPush::ConfigPush(ConfigPush&& other54) noexcept {
+ConfigPush::ConfigPush(const ConfigPush& other54) {
   revision = other54.revision;
   baseRevision = other54.baseRevision;
-  patch = std::move(other54.patch);
+  patch = other54.patch;
+  source = other54.source;
   __isset = other54.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other55) {
+ConfigPush::ConfigPush(ConfigPush&& other55) noexcept {
   revision = other55.revision;
   baseRevision = other55.baseRevision;
-  patch = other55.patch;
+  patch = std::move(other55.patch);
+  source = other55.source;
   __isset = other55.__isset;
-  return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other56) noexcept {
+ConfigPush& ConfigPush::operator=(const ConfigPush& other56) {
   revision = other56.revision;
   baseRevision = other56.baseRevision;
-  patch = std::move(other56.patch);
+  patch = other56.patch;
+  source = other56.source;
   __isset = other56.__isset;
   return *this;
 }
+ConfigPush& ConfigPush::operator=(ConfigPush&& other57) noexcept {
+  revision = other57.revision;
+  baseRevision = other57.baseRevision;
+  patch = std::move(other57.patch);
+  source = other57.source;
+  __isset = other57.__isset;
+  return *this;
+}
 void ConfigPush::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigPush(";
   out << "revision=" << to_string(revision);
   out << ", " << "baseRevision=" << to_string(baseRevision);
   out << ", " << "patch=" << to_string(patch);
+  out << ", " << "source=" << to_string(source);
   out << ")";
 }
 
@@ -2041,44 +2096,44 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionOutcome::VersionOutcome(const VersionOutcome& other57) {
-  serviceName = other57.serviceName;
-  serverVersion = other57.serverVersion;
-  route = other57.route;
-  answers = other57.answers;
-  failures = other57.failures;
-  totalUs = other57.totalUs;
-  __isset = other57.__isset;
-}
-VersionOutcome::VersionOutcome(VersionOutcome&& other58) noexcept {
-  serviceName = std::move(other58.serviceName);
-  serverVersion = std::move(other58.serverVersion);
-  route = std::move(other58.route);
+VersionOutcome::VersionOutcome(const VersionOutcome& other58) {
+  serviceName = other58.serviceName;
+  serverVersion = other58.serverVersion;
+  route = other58.route;
   answers = other58.answers;
   failures = other58.failures;
   totalUs = other58.totalUs;
   __isset = other58.__isset;
 }
-VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other59) {
-  serviceName = other59.serviceName;
-  serverVersion = other59.serverVersion;
-  route = other59.route;
+VersionOutcome::VersionOutcome(VersionOutcome&& other59) noexcept {
+  serviceName = std::move(other59.serviceName);
+  serverVersion = std::move(other59.serverVersion);
+  route = std::move(other59.route);
   answers = other59.answers;
   failures = other59.failures;
   totalUs = other59.totalUs;
   __isset = other59.__isset;
-  return *this;
 }
-VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other60) noexcept {
-  serviceName = std::move(other60.serviceName);
-  serverVersion = std::move(other60.serverVersion);
-  route = std::move(other60.route);
+VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other60) {
+  serviceName = other60.serviceName;
+  serverVersion = other60.serverVersion;
+  route = other60.route;
   answers = other60.answers;
   failures = other60.failures;
   totalUs = other60.totalUs;
   __isset = other60.__isset;
   return *this;
 }
+VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other61) noexcept {
+  serviceName = std::move(other61.serviceName);
+  serverVersion = std::move(other61.serverVersion);
+  route = std::move(other61.route);
+  answers = other61.answers;
+  failures = other61.failures;
+  totalUs = other61.totalUs;
+  __isset = other61.__isset;
+  return *this;
+}
 void VersionOutcome::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "VersionOutcome(";
@@ -2135,14 +2190,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->outcomes.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->outcomes.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->outcomes[_i65].read(iprot);
+              xfer += this->outcomes[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2179,10 +2234,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<VersionOutcome> ::const_iterator _iter66;
-    for (_iter66 = this->outcomes.begin(); _iter66 != this->outcomes.end(); ++_iter66)
+    std::vector<VersionOutcome> ::const_iterator _iter67;
+    for (_iter67 = this->outcomes.begin(); _iter67 != this->outcomes.end(); ++_iter67)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2204,28 +2259,28 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionEvidence::VersionEvidence(const VersionEvidence& other67) {
-  outcomes = other67.outcomes;
-  instance = other67.instance;
-  __isset = other67.__isset;
-}
-VersionEvidence::VersionEvidence(VersionEvidence&& other68) noexcept {
-  outcomes = std::move(other68.outcomes);
+VersionEvidence::VersionEvidence(const VersionEvidence& other68) {
+  outcomes = other68.outcomes;
   instance = other68.instance;
   __isset = other68.__isset;
 }
-VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other69) {
-  outcomes = other69.outcomes;
+VersionEvidence::VersionEvidence(VersionEvidence&& other69) noexcept {
+  outcomes = std::move(other69.outcomes);
   instance = other69.instance;
   __isset = other69.__isset;
-  return *this;
 }
-VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other70) noexcept {
-  outcomes = std::move(other70.outcomes);
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other70) {
+  outcomes = other70.outcomes;
   instance = other70.instance;
   __isset = other70.__isset;
   return *this;
 }
+VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other71) noexcept {
+  outcomes = std::move(other71.outcomes);
+  instance = other71.instance;
+  __isset = other71.__isset;
+  return *this;
+}
 void VersionEvidence::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "VersionEvidence(";
@@ -2361,36 +2416,36 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other71) {
-  key = other71.key;
-  revision = other71.revision;
-  order = other71.order;
-  status = other71.status;
-  __isset = other71.__isset;
-}
-RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other72) noexcept {
-  key = std::move(other72.key);
+RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other72) {
+  key = other72.key;
   revision = other72.revision;
-  order = std::move(other72.order);
-  status = std::move(other72.status);
+  order = other72.order;
+  status = other72.status;
   __isset = other72.__isset;
 }
-RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other73) {
-  key = other73.key;
+RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other73) noexcept {
+  key = std::move(other73.key);
   revision = other73.revision;
-  order = other73.order;
-  status = other73.status;
+  order = std::move(other73.order);
+  status = std::move(other73.status);
   __isset = other73.__isset;
-  return *this;
 }
-RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other74) noexcept {
-  key = std::move(other74.key);
+RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other74) {
+  key = other74.key;
   revision = other74.revision;
-  order = std::move(other74.order);
-  status = std::move(other74.status);
+  order = other74.order;
+  status = other74.status;
   __isset = other74.__isset;
   return *this;
 }
+RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other75) noexcept {
+  key = std::move(other75.key);
+  revision = other75.revision;
+  order = std::move(other75.order);
+  status = std::move(other75.status);
+  __isset = other75.__isset;
+  return *this;
+}
 void RolloutAnnounce::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "RolloutAnnounce(";
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -36,6 +36,20 @@
 
 std::string to_string(const ForwardOutcome::type& val);
 
+struct RelaySource {
+  enum type {
+    PLATFORM = 1,
+    RELAY = 2,
+    UNREACHABLE = 3
+  };
+};
+
+extern const std::map<int, const char*> _RelaySource_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RelaySource::type& val);
+
+std::string to_string(const RelaySource::type& val);
+
 class ForwardRequest;
 
 class ForwardReply;
@@ -661,10 +675,11 @@
 std::ostream& operator<<(std::ostream& out, const StateReply& obj);
 
 typedef struct _ConfigPush__isset {
-  _ConfigPush__isset() : revision(false), baseRevision(false), patch(false) {}
+  _ConfigPush__isset() : revision(false), baseRevision(false), patch(false), source(false) {}
   bool revision :1;
   bool baseRevision :1;
   bool patch :1;
+  bool source :1;
 } _ConfigPush__isset;
 
 class ConfigPush : public virtual ::apache::thrift::TBase {
@@ -677,13 +692,19 @@
   ConfigPush() noexcept
              : revision(0),
                baseRevision(0),
-               patch() {
+               patch(),
+               source(static_cast<RelaySource::type>(0)) {
   }
 
   virtual ~ConfigPush() noexcept;
   int64_t revision;
   int64_t baseRevision;
   std::string patch;
+  /**
+   * 
+   * @see RelaySource
+   */
+  RelaySource::type source;
 
   _ConfigPush__isset __isset;
 
@@ -693,6 +714,8 @@
 
   void __set_patch(const std::string& val);
 
+  void __set_source(const RelaySource::type val);
+
   bool operator == (const ConfigPush & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -701,6 +724,8 @@
       return false;
     if (!(patch == rhs.patch))
       return false;
+    if (!(source == rhs.source))
+      return false;
     return true;
   }
   bool operator != (const ConfigPush &rhs) const {
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -99,6 +99,16 @@
   3: list<EndpointRecord> endpoints
 }
 
+// How a relay learns of changes of the configuration.
+enum RelaySource {
+  // It watches the platform.
+  PLATFORM = 1
+  // From relays that watch the platform.
+  RELAY = 2
+  // It should watch the platform but cannot reach it.
+  UNREACHABLE = 3
+}
+
 // A relay's announcement of the configuration that it has.
 struct ConfigPush {
   1: i64 revision
@@ -106,6 +116,7 @@
   // Patch from the text of baseRevision to that of revision; empty if the
   // sender only announces its revision.
   3: binary patch
+  4: RelaySource source
 }
 
 // Outcomes of one version of a service on one route, counted by the daemon of
--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -60,6 +60,7 @@
     PlatformCallback<T> OnDone,
     std::function<Result<T, PlatformError>()> Operation, bool IsWrite) {
   if (!reachable()) {
+    ++Shared.RefusedCalls;
     Shared.runDelayed([OnDone = std::move(OnDone), Alive = this->Alive] {
       if (*Alive)
         OnDone(PlatformError::Unreachable);
@@ -166,6 +167,7 @@
                                     uint64_t Revision, Duration Wait,
                                     PlatformCallback<WatchBatch> OnDone) {
   ++Shared.StaleCalls;
+  ++Shared.StaleWatches;
   addWatch(Prefix, Revision, /*Stale=*/true, Wait, std::move(OnDone));
 }
 
--- a/testing/fake_platform.h
+++ b/testing/fake_platform.h
@@ -31,7 +31,9 @@
   uint64_t Reads = 0;
   uint64_t Writes = 0;
   uint64_t WatchCalls = 0;
-  uint64_t StaleCalls = 0; // Calls of listStale() and watchStale().
+  uint64_t StaleCalls = 0;   // Calls of listStale() and watchStale().
+  uint64_t StaleWatches = 0; // Calls of watchStale(), not in WatchCalls.
+  uint64_t RefusedCalls = 0; // Other calls than watches while unreachable.
   // Whether a stale watch returns when an object under its prefix changes.
   bool StaleShowsChanges = true;
 
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -44,14 +44,16 @@
 // The services of one daemon that keep its state up to date.
 struct Daemon {
   Daemon(VirtualTime &Time, FakePlatform &Platform, FakeNetwork &Network,
-         const std::string &Host)
+         const std::string &Host, const std::string &Domain = "a",
+         bool FirstStart = false)
       : Rng(Host.back()), Services(Time, Time, Rng) {
     auto Client = std::make_unique<FakePlatformClient>(Platform);
     this->Client = Client.get();
     Services.add(std::move(Client));
     Services.add(std::make_unique<FakePeers>(Network, Address{Host, 7000}));
     Services.add(std::make_unique<MeshState>());
-    Services.add(std::make_unique<StoreSync>(*this->Client, Codec, "a"));
+    Services.add(
+        std::make_unique<StoreSync>(*this->Client, Codec, Domain, FirstStart));
     Services.add(std::make_unique<PeerSync>(Codec));
     Services.add(std::make_unique<ConfigRelay>(Codec));
     Services.start();
@@ -91,6 +93,33 @@
     return Daemons;
   }
 
+  // Daemons of six failure domains that start at once for the first time, each
+  // with a server.
+  std::vector<std::unique_ptr<Daemon>> firstStart(int Count) {
+    std::vector<std::unique_ptr<Daemon>> Daemons;
+    for (int I = 0; I < Count; ++I) {
+      std::string Domain(1, static_cast<char>('a' + I % 6));
+      std::string Host =
+          "10." + std::to_string(I % 6) + ".0." + std::to_string(I / 6 + 1);
+      Daemons.push_back(std::make_unique<Daemon>(Time, Platform, Network, Host,
+                                                 Domain, true));
+      MeshEndpoint Local = server("i-" + std::to_string(I), 1);
+      Local.FailureDomain = Domain;
+      Local.DaemonAddress.Host = Local.ServerAddress.Host = Host;
+      Daemons.back()->Store->publish(Local, [](bool) {});
+    }
+    return Daemons;
+  }
+
+  // What the platform charges for: a call that may return stale data costs a
+  // tenth of another one.
+  double callsCharged() const {
+    constexpr double StaleRebate = 0.9;
+    return double(Platform.Reads + Platform.Writes + Platform.WatchCalls +
+                  Platform.StaleWatches + Platform.RefusedCalls) -
+           StaleRebate * double(Platform.StaleCalls);
+  }
+
   // Writes Value as an operator does.
   void operatorWrites(const std::string &Key, const std::string &Value) {
     Result<PlatformObject, PlatformError> Current = Platform.Store.read(Key);
@@ -485,3 +514,84 @@
   CHECK(parseEndpoint(Stored.value().Value));
   CHECK(Fleet[1]->State->directory().find("i-1") != nullptr);
 }
+
+TEST_CASE("configuration changes: calls to the platform do not grow with the "
+          "number of hosts") {
+  int Hosts = GENERATE(24, 96);
+  StoreWorld World;
+  auto Fleet = World.firstStart(Hosts);
+  World.Time.advance(1s);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(19s);
+  // At its start a host writes its record and makes three listings; in 20 s it
+  // makes about ten more. All listings may be stale.
+  INFO(Hosts << " hosts: " << World.callsCharged() << " calls at the start");
+  CHECK(World.callsCharged() <= 3.0 * Hosts + 40);
+  double Before = World.callsCharged();
+  int Version = 1;
+  while (Version < 21) {
+    World.operatorWrites("config/main", configText(++Version));
+    World.Time.advance(500ms);
+  }
+  // Four watchers make a call per 0.7 s at most. Each host lists two kinds at
+  // most every 6 s.
+  CHECK(World.callsCharged() - Before <= 4 * (10 / 0.7 + 1) + 0.4 * Hosts);
+  World.Time.advance(1500ms);
+  for (const auto &Each : Fleet) {
+    REQUIRE(Each->State->routes());
+    CHECK(Each->State->routes()->config().Version == Version);
+  }
+}
+
+TEST_CASE("outage of the platform: the hosts do not call it all the time, and "
+          "follow it again after its return") {
+  StoreWorld World;
+  auto Fleet = World.firstStart(48);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(20s);
+  double Before = World.callsCharged();
+  World.Platform.Outage = true;
+  World.Time.advance(8s);
+  INFO("calls charged: " << World.callsCharged() - Before);
+  CHECK(World.callsCharged() - Before <= 4 * 48);
+  World.Platform.Outage = false;
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(3s);
+  for (const auto &Each : Fleet)
+    CHECK(Each->State->routes()->config().Version == 2);
+}
+
+TEST_CASE("all configuration watchers are turned away by the platform: others "
+          "take over") {
+  StoreWorld World;
+  auto Fleet = World.firstStart(36);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(20s);
+  int Watchers = 0;
+  for (const auto &Each : Fleet)
+    if (Each->Store->isConfigWatcher()) {
+      ++Watchers;
+      Each->Client->CutOff = true;
+    }
+  CHECK(Watchers == 4);
+  World.Time.advance(6s);
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(2s);
+  for (const auto &Each : Fleet)
+    CHECK(Each->State->routes()->config().Version == 2);
+}
+
+TEST_CASE("all configuration watchers end at once: changes are still applied "
+          "within two seconds") {
+  StoreWorld World;
+  auto Fleet = World.firstStart(36);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(20s);
+  std::erase_if(Fleet, [](const std::unique_ptr<Daemon> &Each) {
+    return Each->Store->isConfigWatcher();
+  });
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(2s);
+  for (const auto &Each : Fleet)
+    CHECK(Each->State->routes()->config().Version == 2);
+}
