Second copies of answers without an id, and answers without end

Cause: a signed response without an id counted as the answer to any request, so that a second copy, late, on a reused connection went to the next caller. Change: on a connection that has carried another request a signed response must echo the id. Responses that are being received have a bound in common. Measured: http_pooled_client_test: late copies split at every third byte with the first id, another one and none; twelve kinds of bytes without end; twelve bodies without end at once. The old interface has no argument for reuse, so that these cases were not run against it.

--- a/cyclamenwind/http/message_parser.cpp
+++ b/cyclamenwind/http/message_parser.cpp
@@ -210,6 +210,8 @@
   return Impl->Started && !Impl->Ready;
 }
 
+size_t MessageParser::bufferedBytes() const { return Impl->Body.size(); }
+
 bool MessageParser::headersComplete() const { return Impl->HeadersComplete; }
 
 void MessageParser::expectNoBody(bool NoBody) {
--- a/cyclamenwind/http/message_parser.h
+++ b/cyclamenwind/http/message_parser.h
@@ -61,6 +61,9 @@
   // Whether a message has been read in part.
   bool hasPartialMessage() const;
 
+  // Bytes of the body of the current message that were received.
+  size_t bufferedBytes() const;
+
   // Whether all headers of the current message have been read.
   bool headersComplete() const;
 
--- a/cyclamenwind/http/pooled_client.cpp
+++ b/cyclamenwind/http/pooled_client.cpp
@@ -12,6 +12,8 @@
 // the client receives it; the client's limit, which it checks every
 // SweepPeriod, is this much shorter.
 constexpr Duration KeepAliveMargin = 1s;
+// A response is large if it has this part of MaxBufferedBytes.
+constexpr size_t LargeResponses = 16;
 
 std::string serialize(const HttpRequest &Request, const Address &To) {
   std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
@@ -80,6 +82,7 @@
       : Pool(&Pool), PoolAlive(Pool.Alive), Request(std::move(Request)),
         OnDone(std::move(OnDone)) {}
   ~Call() override {
+    countBuffered(0);
     if (ActiveConnection && *PoolAlive)
       Pool->destroyLater(std::move(ActiveConnection));
   }
@@ -111,6 +114,15 @@
                  : HttpClientErrorCode::BadResponse);
         return;
       }
+      countBuffered(ActiveConnection->Parser.bufferedBytes());
+      if (Pool->mustGiveUp(Buffered)) {
+        logWarning("responses_too_large",
+                   {{"from", ActiveConnection->To.text()},
+                    {"bytes", Buffered},
+                    {"all", Pool->BufferedBytes}});
+        fail(HttpClientErrorCode::ResponseTooLarge);
+        return;
+      }
       if (ActiveConnection->Parser.ready() && onMessage(Bytes))
         return;
     }
@@ -137,7 +149,7 @@
     if (Message.Response.Status < FirstFinalStatus)
       return false;
     if (Pool->Options.Matches &&
-        !Pool->Options.Matches(Request, Message.Response)) {
+        !Pool->Options.Matches(Request, Message.Response, Reused)) {
       logWarning("response_of_another_request",
                  {{"from", ActiveConnection->To.text()},
                   {"status", Message.Response.Status}});
@@ -164,7 +176,15 @@
     finish(HttpClientError{Code, WasSent});
   }
 
+  // Replaces this call's part of the pool's BufferedBytes.
+  void countBuffered(size_t Bytes) {
+    if (*PoolAlive)
+      Pool->BufferedBytes += Bytes - Buffered;
+    Buffered = Bytes;
+  }
+
   void finish(Result<HttpResponse, HttpClientError> Outcome) {
+    countBuffered(0);
     TimeoutTimer.reset();
     HttpCallback Callback = std::move(OnDone);
     OnDone = nullptr;
@@ -178,6 +198,7 @@
   HttpCallback OnDone;
   std::unique_ptr<Connection> ActiveConnection;
   TimerHandle TimeoutTimer;
+  size_t Buffered = 0; // Bytes of the response that were received.
   bool Reused = false;
   bool Sent = false;
   bool SkippedResponse = false;
@@ -267,6 +288,13 @@
   IdleConnections.erase(Found);
 }
 
+// Whether a response of which ResponseBytes were received has to fail, so that
+// servers which send without end do not use up the memory.
+bool PooledClient::mustGiveUp(size_t ResponseBytes) const {
+  return BufferedBytes > Options.MaxBufferedBytes &&
+         ResponseBytes > Options.MaxBufferedBytes / LargeResponses;
+}
+
 void PooledClient::sweep(TimePoint Now) {
   for (auto &[To, Connections] : IdleConnections)
     Connections.remove_if([&](const std::unique_ptr<Connection> &Candidate) {
--- a/cyclamenwind/http/pooled_client.h
+++ b/cyclamenwind/http/pooled_client.h
@@ -19,12 +19,18 @@
 
 namespace cyclamenwind {
 
-// Returns whether Response can be the response to Request.
-using ResponseMatcher = std::function<bool(const HttpRequest &Request,
-                                           const HttpResponse &Response)>;
+// Returns whether Response can be the response to Request. Reused: the
+// connection has carried other requests before, so that Response may be a
+// second copy of the response to one of them.
+using ResponseMatcher = std::function<bool(
+    const HttpRequest &Request, const HttpResponse &Response, bool Reused)>;
 
 struct PooledClientOptions {
   ParserLimits Parser;
+  // Limit of the bytes buffered for all responses that are being received.
+  // Above it, those of them that are large fail as they grow; see
+  // LargeResponses.
+  size_t MaxBufferedBytes = 64 * 1024 * 1024;
   // A connection that has been idle for longer is not reused. A server may drop
   // an idle connection without notice. Requests other than GET and HEAD cannot
   // be retried, so they have a limit of their own.
@@ -60,12 +66,14 @@
   void removeIdle(Connection *Closed);
   void destroyLater(std::unique_ptr<Connection> Ended);
   void sweep(TimePoint Now);
+  bool mustGiveUp(size_t ResponseBytes) const;
 
   Loop &TheLoop;
   PooledClientOptions Options;
   std::map<Address, std::list<std::unique_ptr<Connection>>> IdleConnections;
   TimerHandle SweepTimer;
   uint64_t Opened = 0;
+  size_t BufferedBytes = 0; // Of all responses that are being received.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -30,6 +30,9 @@
 constexpr Duration StopMargin = 400ms;
 // The body of one request may take MemoryBytes / BodyMemoryDivisor.
 constexpr size_t BodyMemoryDivisor = 16;
+// All responses that are being received from the local backend server together
+// may take this many times as much.
+constexpr size_t BufferedBodies = 2;
 constexpr size_t DefaultBodyBytes = 4 * 1024 * 1024;
 // Share of the platform's rate that one daemon may use, and the bounds of the
 // result. A daemon makes less than one call a second, except for a few at once
@@ -66,13 +69,16 @@
   return Timings;
 }
 
-// A response belongs to the request whose attempt id it echoes. A response
-// without an id matches any request.
+// A response belongs to the request whose attempt id it echoes. Without an id,
+// a signed response on a connection that has carried another request may be a
+// second copy of the response to that one.
 ResponseMatcher responseMatcher(const HeaderCodec &Codec) {
-  return [&Codec](const HttpRequest &Request, const HttpResponse &Response) {
-    std::string AnsweredId = Codec.responseMetadata(Response).AttemptId;
+  return [&Codec](const HttpRequest &Request, const HttpResponse &Response,
+                  bool Reused) {
+    ResponseMetadata Metadata = Codec.responseMetadata(Response);
+    const std::string &AnsweredId = Metadata.AttemptId;
     if (AnsweredId.empty())
-      return true;
+      return !Reused || !Metadata.Signed;
     HttpHeaders Headers = Request.Headers;
     return Codec.extractCallerMetadata(Headers).AttemptId == AnsweredId;
   };
@@ -95,6 +101,7 @@
   PlatformClient &Client = *Store;
   PooledClientOptions Options;
   Options.Parser.MaxBodyBytes = maxBodyBytes(Settings);
+  Options.MaxBufferedBytes = BufferedBodies * maxBodyBytes(Settings);
   Options.Matches = responseMatcher(Adapters.Headers);
   auto Counters = std::make_unique<Metrics>();
   Store->observe([RawCounters = Counters.get()](std::string_view Call,
@@ -113,9 +120,8 @@
           Settings.ServerService,
           {Settings.RetryRatio, Settings.RetryExtra, Settings.RetryWindow}},
       Adapters.Headers));
-  Services.add(std::make_unique<StoreSync>(Client, Adapters.Objects,
-                                           Settings.FailureDomain,
-                                           Settings.FirstStart));
+  Services.add(std::make_unique<StoreSync>(
+      Client, Adapters.Objects, Settings.FailureDomain, Settings.FirstStart));
   Services.add(std::make_unique<LocalServerRegistry>(
       LocalServerRegistryOptions{Settings.Peers, Settings.ReportPeriod}));
   Services.add(std::make_unique<PeerSync>(Adapters.Objects));
--- a/tests/http_pooled_client_test.cpp
+++ b/tests/http_pooled_client_test.cpp
@@ -15,13 +15,20 @@
 // Responses; a trailing "<close>" makes the server close the connection.
 class Fixture {
 public:
+  static constexpr size_t MaxBody = 1 << 20;
+  static constexpr size_t MaxBuffered = 4 << 20;
+
   explicit Fixture(uint16_t Port) : Listen(loopbackAddress(Port)) {
     PooledClientOptions Options;
     Options.Matches = [](const HttpRequest &Request,
-                         const HttpResponse &Response) {
+                         const HttpResponse &Response, bool Reused) {
       const std::string *Id = findHeader(Response.Headers, "Id");
-      return Id == nullptr || *Id == *findHeader(Request.Headers, "Id");
+      if (Id == nullptr)
+        return !Reused;
+      return *Id == *findHeader(Request.Headers, "Id");
     };
+    Options.Parser.MaxBodyBytes = MaxBody;
+    Options.MaxBufferedBytes = MaxBuffered;
     Client = std::make_unique<PooledClient>(TheLoop, Options);
     Server = std::make_unique<RawListener>(
         TheLoop, Listen, [this](RawStream &Stream) { serve(Stream); });
@@ -135,3 +142,115 @@
   CHECK(Setup.request("2").value().Body == "b");
   CHECK(Setup.Client->opened() == 2);
 }
+
+TEST_CASE("a second copy of a response, late, is not the response to the next "
+          "request, wherever it is split") {
+  std::string Copy = GENERATE(response("1", "copy"),
+                              std::string("HTTP/1.1 200 OK\r\n"
+                                          "Content-Length: 4\r\n\r\ncopy"),
+                              response("7", "copy"));
+  std::string Mine = response("2", "mine");
+  for (size_t Split = 0; Split <= Copy.size(); Split += 3) {
+    Fixture Setup(18209);
+    Setup.Responses = {response("1", "a")};
+    REQUIRE(Setup.request("1").value().Body == "a");
+    std::optional<Outcome> Ended;
+    auto Call =
+        Setup.Client->send(Setup.Listen, {"GET", "/", {{"Id", "2"}}, ""}, 2s,
+                           [&](Outcome Final) { Ended = Final; });
+    RawStream &Server = *Setup.Server->Streams[0];
+    REQUIRE(runUntil(Setup.TheLoop, [&] { return !Server.Received.empty(); }));
+    CHECK(Setup.Client->opened() == 1);
+    Server.write(Copy.substr(0, Split));
+    runFor(Setup.TheLoop, 2ms);
+    Server.write(Copy.substr(Split) + Mine);
+    REQUIRE(runUntil(Setup.TheLoop, [&] { return Ended.has_value(); }));
+    CHECK(Ended->value().Body == "mine");
+    // Another copy may follow: the connection is not used again.
+    Setup.Responses = {"", response("3", "c")};
+    Setup.NextResponse = 1;
+    CHECK(Setup.request("3").value().Body == "c");
+    CHECK(Setup.Client->opened() == 2);
+  }
+}
+
+TEST_CASE("bytes without end, in a head or a body: the request fails, others "
+          "go on") {
+  // What the server sends first, and then again and again.
+  auto [First, Again] = GENERATE(table<std::string, std::string>({
+      {"", "x"},
+      {"HTTP/1.1 200 ", "x"},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "1\r\nx\r\n"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\n",
+       "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+      {"", "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 1\r\n\r\nx"},
+  }));
+  INFO(First << "..." << Again);
+  Fixture Setup(18210);
+  std::string Part;
+  while (Part.size() < 16 * 1024)
+    Part += Again;
+  std::optional<Outcome> Ended;
+  auto Call = Setup.Client->send(Setup.Listen, {"GET", "/", {{"Id", "1"}}, ""},
+                                 500ms, [&](Outcome Final) { Ended = Final; });
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    return !Setup.Server->Streams.empty() &&
+           !Setup.Server->Streams[0]->Received.empty();
+  }));
+  RawStream &Server = *Setup.Server->Streams[0];
+  Server.write(First);
+  TimePoint Start = Setup.TheLoop.now();
+  size_t Sent = 0;
+  REQUIRE(runUntil(
+      Setup.TheLoop,
+      [&] {
+        if (!Server.Ended && Sent < 8 * Fixture::MaxBody) {
+          Server.write(Part);
+          Sent += Part.size();
+        }
+        return Ended.has_value() && Server.Ended;
+      },
+      5s));
+  CHECK_FALSE(*Ended);
+  CHECK(Setup.TheLoop.now() - Start < 2s);
+  Setup.Responses = {response("2", "b")};
+  Setup.NextResponse = 0;
+  CHECK(Setup.request("2").value().Body == "b");
+}
+
+TEST_CASE("many responses without end together do not take more memory than "
+          "allowed, and small responses pass") {
+  Fixture Setup(18211);
+  constexpr size_t Endless = 12;
+  std::vector<std::optional<Outcome>> Ended(Endless);
+  std::vector<std::unique_ptr<HttpCall>> Calls;
+  for (size_t I = 0; I < Endless; ++I)
+    Calls.push_back(
+        Setup.Client->send(Setup.Listen, {"GET", "/", {{"Id", "1"}}, ""}, 5s,
+                           [&Ended, I](Outcome Final) { Ended[I] = Final; }));
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    return Setup.Server->Streams.size() == Endless &&
+           !Setup.Server->Streams.back()->Received.empty();
+  }));
+  // Each of them stays within the limit of one response.
+  std::string Part(Fixture::MaxBody * 3 / 4, 'x');
+  for (size_t I = 0; I < Endless; ++I)
+    Setup.Server->Streams[I]->write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + Part);
+  runFor(Setup.TheLoop, 500ms);
+  size_t Failed = 0;
+  for (const std::optional<Outcome> &Each : Ended)
+    Failed += Each.has_value();
+  CHECK(Endless - Failed <= Fixture::MaxBuffered / Part.size() + 1);
+  Setup.Responses = {response("2", "b")};
+  Setup.NextResponse = 0;
+  CHECK(Setup.request("2").value().Body == "b");
+}
