Shortest large response first; requests are refused while the link is full

Change: the pacer serves the writer with the fewest bytes left, with ageing; the inbound proxy refuses a request whose response would wait on the link beyond the objective. Both proxies share ResponseSizes.

--- a/cyclamenwind/base/egress_pacer.cpp
+++ b/cyclamenwind/base/egress_pacer.cpp
@@ -16,6 +16,9 @@
 constexpr double MaxPieceBytes = 256 * 1024;
 // Pieces that may be written at once after a pause.
 constexpr int BurstPieces = 2;
+// Part of what the link could have sent while a writer waited that is taken off
+// its bytes left.
+constexpr double AgingShare = 0.25;
 
 } // namespace
 
@@ -37,24 +40,52 @@
   Credit -= static_cast<double>(Bytes);
 }
 
+double EgressBudget::bytesIn(Duration Span) const {
+  return Rate * std::chrono::duration<double>(Span).count();
+}
+
+Duration EgressBudget::timeFor(double Bytes) const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Bytes / Rate));
+}
+
 Duration EgressBudget::timeUntilPiece(TimePoint Now) {
   refill(Now);
   double Missing = static_cast<double>(PieceBytes) - Credit;
-  if (Missing <= 0)
-    return Duration::zero();
-  return std::chrono::duration_cast<Duration>(
-             std::chrono::duration<double>(Missing / Rate)) +
-         Duration(1);
+  return Missing <= 0 ? Duration::zero() : timeFor(Missing) + Duration(1);
 }
 
 void EgressPacer::add(BulkWriter &Writer) {
-  if (std::find(Turns.begin(), Turns.end(), &Writer) != Turns.end())
-    return;
-  Turns.push_back(&Writer);
+  for (const Turn &Each : Turns)
+    if (Each.Writer == &Writer)
+      return;
+  Turns.push_back({&Writer, Time.now()});
   scheduleNext();
 }
 
-void EgressPacer::remove(BulkWriter &Writer) { std::erase(Turns, &Writer); }
+void EgressPacer::remove(BulkWriter &Writer) {
+  std::erase_if(Turns,
+                [&Writer](const Turn &Each) { return Each.Writer == &Writer; });
+}
+
+// Only the bytes that go before it count, which are at most its own size for
+// each other writer.
+Duration EgressPacer::expectedWait(size_t Bytes) const {
+  double Ahead = 0;
+  for (const Turn &Each : Turns)
+    Ahead += static_cast<double>(std::min(Each.Writer->bytesLeft(), Bytes));
+  return Budget.timeFor(Ahead);
+}
+
+std::vector<EgressPacer::Turn>::iterator EgressPacer::nextTurn(TimePoint Now) {
+  auto Rank = [this, Now](const Turn &Each) {
+    return static_cast<double>(Each.Writer->bytesLeft()) -
+           AgingShare * Budget.bytesIn(Now - Each.WaitsSince);
+  };
+  return std::min_element(
+      Turns.begin(), Turns.end(),
+      [&Rank](const Turn &A, const Turn &B) { return Rank(A) < Rank(B); });
+}
 
 void EgressPacer::scheduleNext() {
   if (NextTimer || Turns.empty())
@@ -68,12 +99,14 @@
 void EgressPacer::writePieces() {
   while (!Turns.empty() &&
          Budget.timeUntilPiece(Time.now()) == Duration::zero()) {
-    BulkWriter *Writer = Turns.front();
-    Turns.pop_front();
-    BulkWriter::Written Result = Writer->writePiece(Budget.pieceBytes());
-    Budget.charge(Result.Bytes, Time.now());
-    if (Result.HasMore)
-      Turns.push_back(Writer);
+    TimePoint Now = Time.now();
+    auto Next = nextTurn(Now);
+    BulkWriter::Written Result = Next->Writer->writePiece(Budget.pieceBytes());
+    Budget.charge(Result.Bytes, Now);
+    if (!Result.HasMore)
+      Turns.erase(Next);
+    else if (Result.MessageEnded)
+      Next->WaitsSince = Now;
   }
   scheduleNext();
 }
--- a/cyclamenwind/base/egress_pacer.h
+++ b/cyclamenwind/base/egress_pacer.h
@@ -5,9 +5,12 @@
 // link, and small messages that were written after it wait behind it, whichever
 // connection they are on: the connections' send buffers together hold far more
 // than the link can send soon. Large writes are therefore made in pieces at
-// slightly less than the link's rate, in turn for all connections that have
-// some, while small writes are made at once. The link then never has more than
-// a few pieces queued.
+// slightly less than the link's rate, while small writes are made at once. The
+// link then never has more than a few pieces queued.
+//
+// The writer with the fewest bytes left goes first, since sending all in turn
+// would make all of them late when the link is short. Waiting counts in a
+// writer's favour, so that long messages are not held up without end.
 //
 // EgressBudget decides how many bytes may be written at a time; it reads no
 // clock. EgressPacer calls the writers when their turn comes.
@@ -18,7 +21,7 @@
 #include "cyclamenwind/base/scheduler.h"
 
 #include <cstddef>
-#include <deque>
+#include <vector>
 
 namespace cyclamenwind {
 
@@ -35,6 +38,11 @@
   // large writes then wait for longer.
   void charge(size_t Bytes, TimePoint Now);
 
+  // Bytes that the link sends in Span.
+  double bytesIn(Duration Span) const;
+  // Time that Bytes take on the link.
+  Duration timeFor(double Bytes) const;
+
   // Time until a piece of a large write may be written; zero if it may be now.
   Duration timeUntilPiece(TimePoint Now);
 
@@ -52,12 +60,16 @@
 public:
   struct Written {
     size_t Bytes = 0;
-    bool HasMore = false; // Whether it can write more at its next turn.
+    bool HasMore = false;      // Whether it can write more at its next turn.
+    bool MessageEnded = false; // Whether that will be another message.
   };
 
   virtual ~BulkWriter() = default;
 
-  // Writes at most MaxBytes. Must not destroy any BulkWriter.
+  // Bytes of its current message that are left to write.
+  virtual size_t bytesLeft() const = 0;
+
+  // Writes at most MaxBytes. Must neither destroy nor add a BulkWriter.
   virtual Written writePiece(size_t MaxBytes) = 0;
 };
 
@@ -76,14 +88,23 @@
   void add(BulkWriter &Writer);
   void remove(BulkWriter &Writer);
 
+  // Expected time that a message of Bytes that is added now waits for others.
+  Duration expectedWait(size_t Bytes) const;
+
 private:
+  struct Turn {
+    BulkWriter *Writer;
+    TimePoint WaitsSince;
+  };
+
   void writePieces();
   void scheduleNext();
+  std::vector<Turn>::iterator nextTurn(TimePoint Now);
 
   Clock &Time;
   Scheduler &Timers;
   EgressBudget Budget;
-  std::deque<BulkWriter *> Turns;
+  std::vector<Turn> Turns;
   TimerHandle NextTimer;
 };
 
--- a/cyclamenwind/http/byte_stream.cpp
+++ b/cyclamenwind/http/byte_stream.cpp
@@ -181,12 +181,12 @@
     return {};
   ssize_t Sent = sendBytes(MaxBytes);
   if (Sent > 0 && mustWaitForTurn())
-    return {static_cast<size_t>(Sent), true};
+    return {static_cast<size_t>(Sent), true, false};
   if (Sent < 0 && isTransient(errno))
     event_add(WriteEvent, nullptr);
   else
     scheduleFlush();
-  return {static_cast<size_t>(std::max<ssize_t>(Sent, 0)), false};
+  return {static_cast<size_t>(std::max<ssize_t>(Sent, 0)), false, false};
 }
 
 void ByteStream::flush() {
--- a/cyclamenwind/http/byte_stream.h
+++ b/cyclamenwind/http/byte_stream.h
@@ -78,6 +78,7 @@
   void flush();
   bool mustWaitForTurn() const;
   ssize_t sendBytes(size_t MaxBytes);
+  size_t bytesLeft() const override { return unsentBytes(); }
   Written writePiece(size_t MaxBytes) override;
   void onWritable();
   void onReadable();
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -20,6 +20,9 @@
 constexpr Duration HealthTimeout = 300ms;
 constexpr int FirstFailureStatus = 500;
 constexpr double PermilleScale = 1000;
+// A response that waits no longer than this on the way out is not late because
+// of it.
+constexpr Duration ShortTransferWait = 100ms;
 
 constexpr std::array<EnumName<ForwardError>, 13> ForwardErrorNames = {{
     {ForwardError::None, "none"},
@@ -183,6 +186,9 @@
   NewRequest.InstanceId = Message.instanceId;
   NewRequest.Message = std::move(Message);
   ForwardError Error = admissionError(Target, Now);
+  if (Error == ForwardError::None &&
+      isLinkFull(NewRequest.Message, Target->Queue))
+    Error = ForwardError::Overloaded;
   if (Error == ForwardError::None) {
     QueuedRequest Queued{Handle,
                          NewRequest.Message.route,
@@ -206,6 +212,18 @@
   return Handle;
 }
 
+// Whether the response to Message would miss its objective because it waits for
+// other large responses on the link of this host.
+bool InboundProxy::isLinkFull(const wire::ForwardRequest &Message,
+                              const AdmissionQueue &Queue) const {
+  auto Bytes = static_cast<size_t>(Sizes.mean(Message.route));
+  if (!TransferWait || Bytes == 0)
+    return false;
+  Duration Wait = TransferWait(Bytes);
+  return Wait > ShortTransferWait &&
+         Wait + Queue.serviceTime() > Duration(Message.objectiveUs);
+}
+
 HttpRequest InboundProxy::makeHttpRequest(const Request &Running,
                                           TimePoint Now) const {
   const wire::ForwardRequest &Message = Running.Message;
@@ -288,6 +306,8 @@
           WireHeader.value = std::move(Header.Value);
         }
       Reply.body = std::move(Response.Body);
+      if (Success)
+        Sizes.count(Ended.Message.route, Reply.body.size());
     }
   }
   recordOutcome(From, Ended, Reply, Now);
--- a/cyclamenwind/mesh/inbound_proxy.h
+++ b/cyclamenwind/mesh/inbound_proxy.h
@@ -21,6 +21,7 @@
 #include "cyclamenwind/mesh/endpoint_directory.h"
 #include "cyclamenwind/mesh/failure_share.h"
 #include "cyclamenwind/mesh/header_codec.h"
+#include "cyclamenwind/mesh/response_sizes.h"
 #include "cyclamenwind/mesh/version_outcomes.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/transport.h"
@@ -94,12 +95,18 @@
   // Number of local backend servers with a record here.
   size_t servers() const { return LocalServers.size(); }
 
+  // Sizes of the responses of the local backend servers.
+  ResponseSizes &responseSizes() { return Sizes; }
+
   // Outcomes of each version of the local backend servers, for rollouts.
   VersionOutcomes &outcomes() { return Outcomes; }
 
   // Returns whether requests may be sent to Version of Service.
   std::function<bool(const std::string &Service, const std::string &Version)>
       VersionAllowed;
+  // Returns the expected time that a response of Bytes waits for others before
+  // it leaves this host. If empty, no response waits.
+  std::function<Duration(size_t Bytes)> TransferWait;
   // Returns the revision of the configuration applied on this daemon.
   std::function<int64_t()> ConfigRevision;
   // Called with the revision of the configuration that a peer routed with.
@@ -134,6 +141,8 @@
   HttpRequest makeHttpRequest(const Request &Running, TimePoint Now) const;
   void onServerResponse(RequestHandle Handle,
                         Result<HttpResponse, HttpClientError> Outcome);
+  bool isLinkFull(const wire::ForwardRequest &Message,
+                  const AdmissionQueue &Queue) const;
   void recordOutcome(Server &From, const Request &Ended,
                      const wire::ForwardReply &Reply, TimePoint Now);
   void applyQueueActions(const QueueActions &Actions);
@@ -153,6 +162,7 @@
   // Requests received from peers, by peer and the id that the peer assigned.
   std::map<std::pair<Address, int64_t>, RequestHandle> FromPeers;
   std::map<Address, TimerHandle> DisconnectTimers;
+  ResponseSizes Sizes;
   VersionOutcomes Outcomes;
   std::map<RequestHandle, std::unique_ptr<HttpCall>> HealthChecks;
   RequestHandle NextHandle = 1;
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -158,6 +158,10 @@
   Inbound.OnPeerRevision = [&State](const Address &Peer, int64_t Revision) {
     State.reportPeerRevision(Peer, static_cast<uint64_t>(Revision));
   };
+  if (Pacer)
+    Inbound.TransferWait = [this](size_t Bytes) {
+      return Pacer->expectedWait(Bytes);
+    };
   State.onConfig([this] { applyLimits(); });
   CallerServer = std::make_unique<PipelineServer>(
       TheLoop, Settings.Callers, PipelineLimits(),
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -33,8 +33,6 @@
 constexpr double MaxFailureShare = 0.15;
 constexpr int FirstFailureStatus = 500;
 constexpr double PermilleScale = 1000;
-// Weight of the newest response in the moving average of a route's sizes.
-constexpr double NewestSizeWeight = 0.1;
 
 HttpResponse plainResponse(int Status, std::string_view Text) {
   return {Status, {}, std::string(Text) + "\n"};
@@ -66,12 +64,8 @@
     peerDisconnected(Peer, Reason);
   });
   State->onConfig([this] {
-    std::set<std::string> Names;
-    for (const MeshRoute &Route : State->routes()->config().Routes)
-      Names.insert(Route.Name);
-    std::erase_if(MeanResponseBytes, [&Names](const auto &Entry) {
-      return Names.count(Entry.first) == 0;
-    });
+    Sizes.retain(State->routes()->config());
+    Inbound->responseSizes().retain(State->routes()->config());
   });
   State->onEndpoint([this](const MeshEndpoint &Endpoint) {
     if (Endpoint.State == EndpointState::Ready)
@@ -148,9 +142,8 @@
   std::vector<const MeshEndpoint *> Eligible =
       State->rollouts().eligibleServers(
           TheCall.Service, State->directory().usable(TheCall.Service), *Rng);
-  auto Size = MeanResponseBytes.find(TheCall.Route->Name);
   BalancedRequest Request{TheCall.Route->Objective,
-                          Size == MeanResponseBytes.end() ? 0 : Size->second};
+                          Sizes.mean(TheCall.Route->Name)};
   return Balancer->choose(preferConnected(Eligible), TheCall.Tried, Request,
                           Now);
 }
@@ -298,14 +291,6 @@
                          Now);
 }
 
-void OutboundProxy::noteResponseSize(const MeshRoute &Route, size_t Bytes) {
-  auto [Position, IsNew] =
-      MeanResponseBytes.emplace(Route.Name, static_cast<double>(Bytes));
-  if (!IsNew)
-    Position->second +=
-        NewestSizeWeight * (static_cast<double>(Bytes) - Position->second);
-}
-
 bool OutboundProxy::mayRetry(const Call &TheCall, bool ReachedServer,
                              bool Executed, TimePoint Now) {
   if (Now >= TheCall.ReplyBy)
@@ -342,7 +327,7 @@
   bool Failed = Reply.outcome != wire::ForwardOutcome::ANSWERED ||
                 Reply.status >= FirstFailureStatus;
   if (!Failed) {
-    noteResponseSize(*TheCall.Route, Reply.body.size());
+    Sizes.count(TheCall.Route->Name, Reply.body.size());
     finishWithReply(Id, Reply);
     return;
   }
--- a/cyclamenwind/mesh/outbound_proxy.h
+++ b/cyclamenwind/mesh/outbound_proxy.h
@@ -94,7 +94,6 @@
   void onAttemptEnded(uint64_t Number, wire::ForwardReply Reply);
   void updateBalancer(const Attempt &TheAttempt,
                       const wire::ForwardReply &Reply, TimePoint Now);
-  void noteResponseSize(const MeshRoute &Route, size_t Bytes);
   bool mayRetry(const Call &TheCall, bool ReachedServer, bool Executed,
                 TimePoint Now);
   bool hasHealthierServer(const Call &TheCall, TimePoint Now) const;
@@ -124,8 +123,7 @@
   RetryBudget Budget;
   std::map<uint64_t, Call> Calls;
   std::map<uint64_t, Attempt> Attempts;
-  // Moving average of the size of responses, by name of the route.
-  std::map<std::string, double> MeanResponseBytes;
+  ResponseSizes Sizes;
   uint64_t NextCall = 1;
   // Starts at a random number, so that a reply meant for an earlier process of
   // this daemon does not match an attempt.
--- a/cyclamenwind/peer/link.cpp
+++ b/cyclamenwind/peer/link.cpp
@@ -169,7 +169,11 @@
     BulkFrames.pop_front();
     BulkSent = 0;
   }
-  return {Bytes, !BulkFrames.empty()};
+  return {Bytes, !BulkFrames.empty(), Last};
+}
+
+size_t Link::bytesLeft() const {
+  return BulkFrames.empty() ? 0 : BulkFrames.front().size() - BulkSent;
 }
 
 size_t Link::backlog() const {
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -78,6 +78,7 @@
   void addFrame(FrameType Type, std::string_view Prefix,
                 std::string_view Payload);
   void resumeBulkFrames();
+  size_t bytesLeft() const override;
   Written writePiece(size_t MaxBytes) override;
   void readFrames();
   size_t parseFrames(std::string_view Bytes);
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -26,6 +26,7 @@
   bool LoseResponse = false;
   bool RefuseConnections = false;
   bool Healthy = true;
+  std::string Body = {}; // Of successful responses; a short text if empty.
 };
 
 // State of all simulated backend servers. Each daemon has one, on port 8000 of
@@ -72,7 +73,10 @@
     FakeCall *Raw = Call.get();
     ++Servers.Arrivals[To.Host];
     Servers.ReceivedRequests.push_back(Request);
-    HttpResponse Response{Handling.Status, {}, "body of " + To.Host};
+    HttpResponse Response{Handling.Status,
+                          {},
+                          Handling.Body.empty() ? "body of " + To.Host
+                                                : Handling.Body};
     if (Request.Target == "/health") {
       ++Servers.HealthChecks;
       Response.Status = Handling.Healthy ? 200 : 503;
--- a/tests/egress_pacer_test.cpp
+++ b/tests/egress_pacer_test.cpp
@@ -37,11 +37,12 @@
 public:
   Download(SimulatedLink &Link, size_t Bytes) : Link(Link), Left(Bytes) {}
 
+  size_t bytesLeft() const override { return Left; }
   Written writePiece(size_t MaxBytes) override {
     size_t Bytes = std::min(Left, MaxBytes);
     Left -= Bytes;
     SentAt = Link.write(Bytes);
-    return {Bytes, Left > 0};
+    return {Bytes, Left > 0, false};
   }
 
   SimulatedLink &Link;
@@ -89,7 +90,7 @@
   CHECK(LastSent <= TimePoint(AtFullRate * 5 / 4));
 }
 
-TEST_CASE("downloads take turns: a short one does not wait for a long one") {
+TEST_CASE("a short download does not wait for a long one") {
   VirtualTime Time;
   SimulatedLink Link(Time);
   EgressPacer Pacer(Time, Time, LinkBytesPerSecond);
@@ -117,3 +118,46 @@
   CHECK(Budget.timeUntilPiece(Start) <= 1200ms);
   CHECK(Budget.timeUntilPiece(Start + 1200ms) == Duration::zero());
 }
+
+TEST_CASE("more downloads than the link can send: most of those that are sent "
+          "are in time") {
+  VirtualTime Time;
+  SimulatedLink Link(Time);
+  EgressPacer Pacer(Time, Time, LinkBytesPerSecond);
+  // Twice what the link can send; a download is of use for 800 ms.
+  constexpr size_t Bytes = 90 * 1000;
+  constexpr Duration Interval = 36ms;
+  constexpr Duration Objective = 800ms;
+  std::vector<std::pair<TimePoint, std::unique_ptr<Download>>> All;
+  while (Time.now() < TimePoint(10s)) {
+    if (Pacer.expectedWait(Bytes) + 80ms <= Objective) {
+      All.emplace_back(Time.now(), std::make_unique<Download>(Link, Bytes));
+      Pacer.add(*All.back().second);
+    }
+    Time.advance(Interval);
+  }
+  Time.advance(2s);
+  size_t InTime = 0;
+  for (const auto &[Added, Each] : All)
+    InTime += Each->Left == 0 && Each->SentAt - Added <= Objective;
+  INFO(InTime << " of " << All.size() << " in time");
+  CHECK(InTime >= All.size() * 9 / 10);
+  // What the link can send in ten seconds.
+  CHECK(double(InTime * Bytes) >= 0.8 * 10 * LinkBytesPerSecond);
+}
+
+TEST_CASE("a long download ends although short ones keep coming") {
+  VirtualTime Time;
+  SimulatedLink Link(Time);
+  EgressPacer Pacer(Time, Time, LinkBytesPerSecond);
+  Download Long(Link, 2000 * 1000);
+  Pacer.add(Long);
+  std::vector<std::unique_ptr<Download>> Short;
+  // Nearly all that the link can send.
+  while (Long.Left > 0 && Time.now() < TimePoint(60s)) {
+    Short.push_back(std::make_unique<Download>(Link, 90 * 1000));
+    Pacer.add(*Short.back());
+    Time.advance(80ms);
+  }
+  CHECK(Time.now() < TimePoint(20s));
+}
--- a/tests/mesh_forward_test.cpp
+++ b/tests/mesh_forward_test.cpp
@@ -270,3 +270,35 @@
   CHECK_FALSE(State.apply(meshConfig(4), ""));
   CHECK(World.request("/submit/1")->Answer->Status == 404);
 }
+
+TEST_CASE(
+    "large responses on a full link: a request is refused before it runs, "
+    "and another host serves it") {
+  MeshWorld World(2);
+  World.Servers.ByHost["10.0.0.1"].Body = std::string(90000, 'x');
+  World.Servers.ByHost["10.0.0.2"].Body = std::string(90000, 'x');
+  // Both daemons have seen responses of the route.
+  for (int I = 0; I < 20; ++I) {
+    World.request("/read/" + std::to_string(I), size_t(I % 2));
+    World.Time.advance(100ms);
+  }
+  int RunsBefore = World.Servers.Arrivals["10.0.0.1"];
+  World.Daemons[0].Inbound->TransferWait = [](size_t Bytes) {
+    return Bytes >= 80000 ? 900ms : Duration::zero();
+  };
+  for (int I = 0; I < 4; ++I) {
+    auto Received = World.request("/read/more" + std::to_string(I));
+    World.Time.advance(200ms);
+    REQUIRE(Received->Answer);
+    CHECK(Received->Answer->Status == 200);
+    CHECK(Received->Answer->Body.size() == 90000);
+  }
+  CHECK(World.Servers.Arrivals["10.0.0.1"] == RunsBefore);
+  World.Daemons[1].Inbound->TransferWait =
+      World.Daemons[0].Inbound->TransferWait;
+  auto Refused = World.request("/read/last");
+  World.Time.advance(100ms);
+  REQUIRE(Refused->Answer);
+  CHECK(Refused->Answer->Status == 503);
+  CHECK(findHeader(Refused->Answer->Headers, "Retry-After") != nullptr);
+}
