--- /dev/null
+++ b/tests/mesh_daemon_test.cpp
@@ -0,0 +1,250 @@
+// Mesh daemons on loopback addresses with a platform, backend servers and
+// callers: large responses on slow links, and planned stops.
+
+#include "cyclamenwind/base/log.h"
+#include "cyclamenwind/http/client.h"
+#include "cyclamenwind/mesh/mesh_daemon.h"
+#include "platform/names.h"
+#include "platform/store_client.h"
+#include "platform/wire.h"
+#include "testing/platform_server.h"
+#include "testing/raw_tcp.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace cyclamenwind;
+using namespace cyclamenwind::testing;
+
+namespace {
+
+constexpr uint16_t PlatformPort = 9000;
+
+const char ConfigText[] = R"({"version": 1, "routes": [
+  {"name": "film", "host": "h.example", "pathPrefix": "/film/",
+   "kind": "download", "timeoutMs": 12000, "targetLatencyMs": 10000,
+   "priority": 1, "maxAttempts": 2, "service": "films"},
+  {"name": "small", "host": "h.example", "pathPrefix": "/small/",
+   "kind": "safe", "timeoutMs": 3000, "targetLatencyMs": 1000,
+   "priority": 1, "maxAttempts": 2, "service": "films"}],
+  "services": [{"name": "films", "healthPath": "/health"}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
+
+HostSettings settingsOf(uint16_t FirstPort) {
+  HostSettings Settings;
+  Settings.Name = "host-" + std::to_string(FirstPort);
+  Settings.FailureDomain = "a";
+  Settings.ServerService = "films";
+  Settings.Callers = loopbackAddress(FirstPort);
+  Settings.Readiness = loopbackAddress(FirstPort + 1);
+  Settings.Reports = loopbackAddress(FirstPort + 2);
+  Settings.Peers = loopbackAddress(FirstPort + 3);
+  Settings.Metrics = loopbackAddress(FirstPort + 4);
+  Settings.Platform = loopbackAddress(PlatformPort);
+  Settings.StopLimit = 9s;
+  Settings.RetryExtra = 56;
+  Settings.WritesPerSecond = 400;
+  Settings.ReadsPerSecond = 2000;
+  Settings.MemoryBytes = 256 * 1024 * 1024;
+  Settings.LinkBytesPerSecond = 500000; // 4 Mbit/s.
+  return Settings;
+}
+
+// A daemon with an event loop and a thread of its own. Destroying it, or its
+// end after a stop, closes its sockets like the end of a process.
+class DaemonProcess {
+public:
+  // The daemon is asked to stop StopAfter from now, if that is set.
+  explicit DaemonProcess(const HostSettings &Settings,
+                         std::optional<Duration> StopAfter = std::nullopt)
+      : Thread([this, Settings, StopAfter] { run(Settings, StopAfter); }) {}
+  ~DaemonProcess() {
+    EndRequested = true;
+    Thread.join();
+  }
+
+  std::atomic<bool> EndRequested = false;
+  std::atomic<bool> Ended = false;
+
+private:
+  void run(const HostSettings &Settings, std::optional<Duration> StopAfter) {
+    Loop TheLoop;
+    platform::PlatformHeaderCodec Headers;
+    platform::PlatformObjectCodec Objects;
+    {
+      MeshDaemon Daemon(TheLoop, Settings,
+                        {Headers, Objects, platform::handleReport,
+                         platform::names::ReadyPath},
+                        platform::makeStoreClient(TheLoop, Settings.Platform,
+                                                  PlatformCallTimeout));
+      if (!Daemon.start()) {
+        TimerHandle Stop;
+        if (StopAfter)
+          Stop = TheLoop.after(*StopAfter, [&Daemon] { Daemon.shutdown(); });
+        TimerHandle End = TheLoop.every(5ms, [this, &TheLoop] {
+          if (EndRequested)
+            TheLoop.stop();
+        });
+        TheLoop.run();
+      }
+    }
+    Ended = true;
+  }
+
+  std::thread Thread;
+};
+
+// Platform, a backend server beside the daemon whose first port is 8100, and
+// callers.
+class World {
+public:
+  World()
+      : Platform(TheLoop, loopbackAddress(PlatformPort)), Client(TheLoop, {}),
+        Server(TheLoop, loopbackAddress(8199),
+               [this](RawStream &Stream) { serve(Stream); }) {
+    startLog(LogLevel::Error, "test");
+    std::optional<bool> Written;
+    std::unique_ptr<PlatformClient> Store = platform::makeStoreClient(
+        TheLoop, loopbackAddress(PlatformPort), PlatformCallTimeout);
+    Store->write("config/main", ConfigText, 0,
+                 [&](Result<uint64_t, PlatformError> Outcome) {
+                   Written = bool(Outcome);
+                 });
+    REQUIRE(runUntil(TheLoop, [&] { return Written.has_value(); }));
+    REQUIRE(*Written);
+  }
+
+  // Answers /film/N with N bytes, other paths with a short text.
+  void serve(RawStream &Stream) {
+    size_t End = Stream.Received.find("\r\n\r\n");
+    if (End == std::string::npos)
+      return;
+    std::string Head = Stream.Received.substr(0, End);
+    Stream.Received.erase(0, End + 4);
+    std::string Body = "small";
+    size_t Film = Head.find("/film/");
+    if (Film != std::string::npos)
+      Body = film(std::stoul(Head.substr(Film + 6)));
+    constexpr std::string_view IdName = "Cyclamenwind-Attempt-Id: ";
+    size_t Id = Head.find(IdName);
+    std::string Echo =
+        Id == std::string::npos
+            ? ""
+            : Head.substr(Id, Head.find("\r\n", Id) - Id) + "\r\n";
+    Stream.write("HTTP/1.1 200 OK\r\n" + Echo +
+                 "Cyclamenwind-Response-Signature: s\r\n"
+                 "Cyclamenwind-Instance-Id: i-1\r\nContent-Length: " +
+                 std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  }
+
+  static std::string film(size_t Bytes) {
+    std::string Body(Bytes, ' ');
+    for (size_t I = 0; I < Bytes; ++I)
+      Body[I] = static_cast<char>('a' + I * 7 / 3 % 26);
+    return Body;
+  }
+
+  HttpRequest request(const std::string &Path) {
+    return {"GET",
+            Path,
+            {{"Host", "h.example"},
+             {"Cyclamenwind-Attempt-Id", "a" + std::to_string(++Sent)},
+             {"Cyclamenwind-Deadline-Ms", "11000"}},
+            ""};
+  }
+
+  // Sends the liveness report of the server until both daemons serve requests.
+  void awaitServing() {
+    HttpRequest Report{"PUT",
+                       "/-/instances/i-1",
+                       {},
+                       R"({"service": "films", "address": ")" +
+                           loopbackAddress(8199).text() +
+                           R"(", "zone": "a", "version": "v1", "capacity": 9,
+                "state": "ready", "warmupLeftMs": 0, "sequence": 1,
+                "born": 1000})"};
+    auto Send = [this, Report] {
+      Reports.push_back(
+          Client.send(loopbackAddress(8102), Report, 1s,
+                      [](Result<HttpResponse, HttpClientError>) {}));
+    };
+    ReportTimer = TheLoop.every(300ms, Send);
+    TimePoint Limit = TheLoop.now() + 10s;
+    for (uint16_t Port : {8100, 8200})
+      while (answer(Port, "/small/x").Status != 200) {
+        REQUIRE(TheLoop.now() < Limit);
+        runFor(TheLoop, 20ms);
+      }
+  }
+
+  // The answer that the daemon with FirstPort gives; status 0 if none came.
+  HttpResponse answer(uint16_t FirstPort, const std::string &Path) {
+    std::optional<HttpResponse> Response;
+    std::unique_ptr<HttpCall> Call =
+        Client.send(loopbackAddress(FirstPort), request(Path), 11s,
+                    [&](Result<HttpResponse, HttpClientError> Outcome) {
+                      Response = Outcome ? Outcome.value() : HttpResponse{};
+                    });
+    Loop &Waiting = TheLoop;
+    while (!Response)
+      runFor(Waiting, 2ms);
+    return *Response;
+  }
+
+  Loop TheLoop;
+  PlatformServer Platform;
+  HttpClient Client;
+  RawListener Server;
+  std::vector<std::unique_ptr<HttpCall>> Reports;
+  TimerHandle ReportTimer;
+  int Sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("planned stop of the server's daemon while a large response is under "
+          "way: the caller gets all of it") {
+  World TheWorld;
+  DaemonProcess Caller(settingsOf(8200));
+  // The response takes 3.3 s to the other daemon. The stop comes after its
+  // begin, and nothing but the response would hold the daemon after 2.4 s.
+  DaemonProcess Stopping(settingsOf(8100), 6s);
+  TimePoint Start = TheWorld.TheLoop.now();
+  TheWorld.awaitServing();
+  while (TheWorld.TheLoop.now() - Start < 5800ms)
+    runFor(TheWorld.TheLoop, 5ms);
+  constexpr size_t Bytes = 1500000;
+  HttpResponse Response =
+      TheWorld.answer(8200, "/film/" + std::to_string(Bytes));
+  CHECK(Response.Status == 200);
+  CHECK((Response.Body == World::film(Bytes))); // Not printed: it is large.
+  CHECK(runUntil(TheWorld.TheLoop, [&] { return Stopping.Ended.load(); }));
+}
+
+TEST_CASE("a caller that does not read a large response holds up no other") {
+  World TheWorld;
+  DaemonProcess Caller(settingsOf(8200));
+  DaemonProcess Gate(settingsOf(8100));
+  TheWorld.awaitServing();
+  RawStream Slow(TheWorld.TheLoop, loopbackAddress(8200));
+  Slow.stopReading();
+  Slow.write("GET /film/540000 HTTP/1.1\r\nHost: h.example\r\n"
+             "Cyclamenwind-Attempt-Id: slow\r\n"
+             "Cyclamenwind-Deadline-Ms: 11000\r\n\r\n");
+  Duration Longest{};
+  for (int I = 0; I < 30; ++I) {
+    TimePoint Start = TheWorld.TheLoop.now();
+    CHECK(TheWorld.answer(8200, "/small/" + std::to_string(I)).Status == 200);
+    Longest = std::max(Longest, TheWorld.TheLoop.now() - Start);
+    runFor(TheWorld.TheLoop, 50ms);
+  }
+  WARN("longest small request beside 540 KB: " << milliseconds(Longest)
+                                               << " ms");
+  // The objective of these requests.
+  CHECK(Longest < 1s);
+  Slow.resumeReading();
+  CHECK(runUntil(TheWorld.TheLoop,
+                 [&] { return Slow.Received.ends_with(World::film(540000)); }));
+}
