--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -160,7 +160,7 @@
     return;
   }
   Store->onConfigPushed(Revision);
-  State->apply(std::move(*Config), std::move(*Text));
+  State->apply(std::move(*Config), std::move(*Text), ConfigSource::Relay);
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -1,17 +1,33 @@
 #include "cyclamenwind/mesh/mesh_state.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/names.h"
 
 #include <utility>
 
 namespace cyclamenwind {
+namespace {
 
-bool MeshState::apply(MeshConfig Config, std::string Text) {
+constexpr std::array<EnumName<ConfigSource>, 3> ConfigSourceNames = {{
+    {ConfigSource::Platform, "platform"},
+    {ConfigSource::Relay, "relay"},
+    {ConfigSource::Peer, "peer"},
+}};
+
+} // namespace
+
+std::string_view nameOf(ConfigSource Source) {
+  return nameIn(ConfigSourceNames, Source);
+}
+
+bool MeshState::apply(MeshConfig Config, std::string Text,
+                      ConfigSource Source) {
   if (Routes && Config.Revision <= Routes->revision())
     return false;
   logInfo("config_applied", {{"revision", Config.Revision},
                              {"version", Config.Version},
                              {"previous", configRevision()},
+                             {"source", nameOf(Source)},
                              {"routes", Config.Routes.size()}});
   uint64_t PreviousRevision = configRevision();
   std::string PreviousText = std::exchange(ConfigText, std::move(Text));
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -17,6 +17,15 @@
 
 namespace cyclamenwind {
 
+// How a daemon got a configuration.
+enum class ConfigSource {
+  Platform, // Read or watched.
+  Relay,    // As a patch from a relay.
+  Peer,     // Requested from a peer as a whole.
+};
+
+std::string_view nameOf(ConfigSource Source);
+
 // A service named "mesh_state".
 class MeshState final : public Service {
 public:
@@ -35,7 +44,8 @@
 
   // Applies Config if it is newer than the applied configuration; returns
   // whether it is.
-  bool apply(MeshConfig Config, std::string Text);
+  bool apply(MeshConfig Config, std::string Text,
+             ConfigSource Source = ConfigSource::Platform);
 
   const EndpointDirectory &directory() const { return Endpoints; }
 
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -126,7 +126,7 @@
     if (Config) {
       logInfo("config_from_peer",
               {{"peer", From.text()}, {"revision", Revision}});
-      State->apply(std::move(*Config), std::move(*Text));
+      State->apply(std::move(*Config), std::move(*Text), ConfigSource::Peer);
     } else {
       logError("config_unreadable",
                {{"peer", From.text()}, {"revision", Revision}});
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -343,9 +343,15 @@
     if (Now - Open->lastReceived() >= Timings.HeartbeatPeriod)
       sendOn(*Open, FrameType::Heartbeat, Beat);
   }
-  for (Link *Closed : Dropped)
-    if (Links.count(Closed) != 0)
-      dropLink(*Closed);
+  for (Link *Closed : Dropped) {
+    if (Links.count(Closed) == 0)
+      continue;
+    if (Closed->connected() && Closed->Closing == Link::ClosePhase::None)
+      logWarning("peer_stream_silent",
+                 {{"peer", Closed->Peer ? Closed->Peer->text() : ""},
+                  {"silent_ms", milliseconds(Now - Closed->lastReceived())}});
+    dropLink(*Closed);
+  }
 }
 
 bool TcpTransport::mustDrop(const Link &Candidate, TimePoint Now) const {
