Streams between daemons that went silent are found by probes

Cause: a stream on which nothing arrived was given up after 5 to 7 s; earlier only if one request had waited on it for a second, which most deadlines do not allow. Frames written meanwhile (patches of the configuration, requests) were lost. Change: a stream is probed 250 ms after a frame without anything in return and closed a second after the probe; then the other quiet streams are probed too. Ruled out: TCP_USER_TIMEOUT alone, since a middlebox or a stopped process may acknowledge segments.

--- a/cyclamenwind/mesh/outbound_proxy_links.cpp
+++ b/cyclamenwind/mesh/outbound_proxy_links.cpp
@@ -39,9 +39,10 @@
       Affected.push_back(Number);
   if (Affected.empty())
     return;
-  logWarning("peer_lost", {{"peer", Peer.text()},
-                           {"requests", Affected.size()},
-                           {"delivered", int(Reason == PeerDisconnect::Lost)}});
+  logWarning("peer_lost",
+             {{"peer", Peer.text()},
+              {"requests", Affected.size()},
+              {"delivered", int(Reason != PeerDisconnect::NeverConnected)}});
   TimePoint Now = Time->now();
   for (uint64_t Number : Affected) {
     auto Found = Attempts.find(Number);
--- a/cyclamenwind/peer/link.cpp
+++ b/cyclamenwind/peer/link.cpp
@@ -116,12 +116,15 @@
     }
     Connected = true;
     LastReceived = TheLoop.now();
+    restartAwaiting(LastReceived);
     event_add(ReadEvent, nullptr);
   }
   flush();
 }
 
-void Link::send(FrameType Type, std::string_view Payload) {
+void Link::send(FrameType Type, std::string_view Payload, bool ExpectsAnswer) {
+  if (ExpectsAnswer && !AwaitingSince)
+    AwaitingSince = TheLoop.now();
   bool IsBulk = Pacer != nullptr && mayBeOvertaken(Type) &&
                 Payload.size() > Pacer->pieceBytes();
   // A Goodbye says that all frames before it were delivered.
@@ -223,6 +226,8 @@
     return;
   }
   LastReceived = TheLoop.now();
+  AwaitingSince.reset();
+  ProbedAt.reset();
   std::shared_ptr<bool> StillAlive = Alive;
   std::string_view Bytes(Buffer, static_cast<size_t>(Received));
   if (PartialFrame.empty()) {
--- a/cyclamenwind/peer/link.h
+++ b/cyclamenwind/peer/link.h
@@ -46,7 +46,9 @@
   Link(const Link &) = delete;
   Link &operator=(const Link &) = delete;
 
-  void send(FrameType Type, std::string_view Payload);
+  // ExpectsAnswer: the peer sends something in return, at least when probed.
+  void send(FrameType Type, std::string_view Payload,
+            bool ExpectsAnswer = true);
 
   // Number of bytes not yet written to the socket.
   size_t backlog() const;
@@ -55,6 +57,16 @@
   TimePoint created() const { return Created; }
   bool connected() const { return Connected; }
 
+  // When the first frame was sent after which nothing has been received;
+  // nothing if there is none. Answers to heartbeats do not count: the peer
+  // sends nothing in return.
+  std::optional<TimePoint> awaitingSince() const { return AwaitingSince; }
+  // Counts that time from Start at the earliest.
+  void restartAwaiting(TimePoint Start) {
+    if (AwaitingSince)
+      AwaitingSince = std::max(*AwaitingSince, Start);
+  }
+
   // Whether this side opened the stream.
   bool outgoing() const { return Outgoing; }
 
@@ -63,6 +75,10 @@
   // Identifies the peer's process; 0 before its Hello.
   int64_t PeerInstance = 0;
 
+  // When a heartbeat was sent to find out whether the peer still answers; unset
+  // when something was received since.
+  std::optional<TimePoint> ProbedAt;
+
   // Progress of the close handshake. Requested: a Goodbye was sent. Agreed: its
   // reply was received, or the peer sent a Goodbye first.
   enum class ClosePhase { None, Requested, Agreed };
@@ -102,6 +118,7 @@
   bool ConnectFailed = false;
   TimePoint Created;
   TimePoint LastReceived;
+  std::optional<TimePoint> AwaitingSince;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/cyclamenwind/peer/tcp_transport.cpp
+++ b/cyclamenwind/peer/tcp_transport.cpp
@@ -12,9 +12,10 @@
 namespace {
 
 constexpr int32_t ProtocolVersion = 1;
-// A check of the links more than this many heartbeat periods after the one
-// before it means that this process was paused.
-constexpr int PauseDetectionPeriods = 2;
+constexpr Duration CheckPeriod = 250ms;
+// A check of the links this long after the one before it means that this
+// process was paused.
+constexpr Duration PauseDetection = 750ms;
 constexpr Duration IdleTimeout = 60s;
 constexpr int ListenBacklog = 1024;
 constexpr int DatagramBufferBytes = 1 << 20;
@@ -82,9 +83,9 @@
 
 void TcpTransport::start(Kernel &TheKernel) {
   Instance = static_cast<int64_t>(TheKernel.random().next() | 1);
-  LastCheck = TheLoop.now();
+  LastCheck = LastHeartbeat = TheLoop.now();
   HeartbeatTimer = TheKernel.scheduler().every(
-      Timings.HeartbeatPeriod, [this] { checkLinks(TheLoop.now()); });
+      CheckPeriod, [this] { checkLinks(TheLoop.now()); });
 }
 
 void TcpTransport::leave() {
@@ -148,8 +149,7 @@
   auto Found = ActiveLinks.find(To);
   if (Found == ActiveLinks.end())
     return;
-  logWarning("peer_stream_silent", {{"peer", To.text()}});
-  dropLink(*Found->second);
+  dropSilent(*Found->second, TheLoop.now());
 }
 
 bool TcpTransport::isConnected(const Address &To) const {
@@ -276,7 +276,9 @@
     return;
   wire::Heartbeat Reply = Beat.value();
   Reply.reply = true;
-  sendOn(From, FrameType::Heartbeat, Reply);
+  std::string Encoded = encodeMessage(Reply);
+  From.send(FrameType::Heartbeat, Encoded, /*ExpectsAnswer=*/false);
+  countSent(FrameType::Heartbeat, Encoded.size());
 }
 
 void TcpTransport::requestClose(Link &Retired) {
@@ -304,6 +306,15 @@
 }
 
 void TcpTransport::dropLink(Link &Closed) {
+  PeerDisconnect Reason = PeerDisconnect::NeverConnected;
+  if (Closed.Closing == Link::ClosePhase::Agreed)
+    Reason = PeerDisconnect::Retired;
+  else if (Closed.connected() || Closed.Closing == Link::ClosePhase::Requested)
+    Reason = PeerDisconnect::Lost;
+  closeLink(Closed, Reason);
+}
+
+void TcpTransport::closeLink(Link &Closed, PeerDisconnect Reason) {
   std::unique_ptr<Link> Owned = std::move(Links[&Closed]);
   Links.erase(&Closed);
   LastUsed.erase(&Closed);
@@ -312,26 +323,30 @@
   auto Found = ActiveLinks.find(*Owned->Peer);
   if (Found != ActiveLinks.end() && Found->second == &Closed)
     ActiveLinks.erase(Found);
-  PeerDisconnect Reason = PeerDisconnect::NeverConnected;
-  if (Owned->Closing == Link::ClosePhase::Agreed)
-    Reason = PeerDisconnect::Retired;
-  else if (Owned->connected() || Owned->Closing == Link::ClosePhase::Requested)
-    Reason = PeerDisconnect::Lost;
   for (const PeerDisconnectHandler &Handler : DisconnectHandlers)
     Handler(*Owned->Peer, Reason);
 }
 
-// Drops closed and timed-out streams, starts closing idle ones, and sends due
-// heartbeats.
+// Drops closed, timed-out and silent streams, starts closing idle ones, and
+// sends due heartbeats.
 void TcpTransport::checkLinks(TimePoint Now) {
-  if (Now - LastCheck > PauseDetectionPeriods * Timings.HeartbeatPeriod)
+  if (Now - LastCheck > PauseDetection) {
     TimeoutsCountFrom = Now;
+    for (auto &[Open, Owned] : Links) {
+      Open->restartAwaiting(Now);
+      if (Open->ProbedAt)
+        Open->ProbedAt = Now;
+    }
+  }
   LastCheck = Now;
+  bool HeartbeatDue = Now - LastHeartbeat >= Timings.HeartbeatPeriod;
+  if (HeartbeatDue)
+    LastHeartbeat = Now;
   std::vector<Link *> Dropped;
   wire::Heartbeat Beat;
   Beat.sequence = ++HeartbeatSequence;
   for (auto &[Open, Owned] : Links) {
-    if (mustDrop(*Open, Now)) {
+    if (mustDrop(*Open, Now) || isSilent(*Open, Now)) {
       Dropped.push_back(Open);
       continue;
     }
@@ -340,17 +355,19 @@
     if (releaseIfIdle(*Open, Now))
       requestClose(*Open);
     // Any other frame from the peer also shows that it is alive.
-    if (Now - Open->lastReceived() >= Timings.HeartbeatPeriod)
+    if (HeartbeatDue && Now - Open->lastReceived() >= Timings.HeartbeatPeriod)
       sendOn(*Open, FrameType::Heartbeat, Beat);
+    if (Open->awaitingSince() &&
+        Now - *Open->awaitingSince() >= Timings.ProbeAfter)
+      probeIfQuiet(*Open, Now);
   }
   for (Link *Closed : Dropped) {
     if (Links.count(Closed) == 0)
       continue;
     if (Closed->connected() && Closed->Closing == Link::ClosePhase::None)
-      logWarning("peer_stream_silent",
-                 {{"peer", Closed->Peer ? Closed->Peer->text() : ""},
-                  {"silent_ms", milliseconds(Now - Closed->lastReceived())}});
-    dropLink(*Closed);
+      dropSilent(*Closed, Now);
+    else
+      dropLink(*Closed);
   }
 }
 
@@ -364,6 +381,36 @@
   return Now - std::max(Candidate.lastReceived(), TimeoutsCountFrom) > Limit;
 }
 
+bool TcpTransport::isSilent(const Link &Candidate, TimePoint Now) const {
+  return Candidate.connected() && Candidate.ProbedAt &&
+         Now - *Candidate.ProbedAt >= Timings.ProbeLimit;
+}
+
+void TcpTransport::probeIfQuiet(Link &Candidate, TimePoint Now) {
+  if (Candidate.ProbedAt || !Candidate.connected())
+    return;
+  Candidate.ProbedAt = Now;
+  wire::Heartbeat Beat;
+  Beat.sequence = ++HeartbeatSequence;
+  sendOn(Candidate, FrameType::Heartbeat, Beat);
+}
+
+void TcpTransport::dropSilent(Link &Silent, TimePoint Now) {
+  logWarning("peer_stream_silent",
+             {{"peer", Silent.Peer ? Silent.Peer->text() : ""},
+              {"silent_ms", milliseconds(Now - Silent.lastReceived())}});
+  probeQuietLinks(Now);
+  bool Connected = Silent.connected();
+  closeLink(Silent, Connected ? PeerDisconnect::Silent
+                              : PeerDisconnect::NeverConnected);
+}
+
+void TcpTransport::probeQuietLinks(TimePoint Now) {
+  for (auto &[Open, Owned] : Links)
+    if (Now - Open->lastReceived() >= Timings.ProbeAfter)
+      probeIfQuiet(*Open, Now);
+}
+
 // Returns whether the stream is idle. If it is, no more frames are sent on it.
 bool TcpTransport::releaseIfIdle(Link &Candidate, TimePoint Now) {
   if (Candidate.Closing != Link::ClosePhase::None || !Candidate.Peer ||
--- a/cyclamenwind/peer/tcp_transport.h
+++ b/cyclamenwind/peer/tcp_transport.h
@@ -8,6 +8,13 @@
 // paused restarts these timeouts when it resumes, so that it first reads what
 // arrived during the pause.
 //
+// A connection may stop working for good without an error, while new ones work.
+// A stream is therefore probed by a heartbeat if nothing arrives within
+// ProbeAfter of a sent frame, and closed if nothing arrives within ProbeLimit
+// of the probe. Such a fault may concern many connections of a host: when a
+// stream has been closed for this reason, all others that are quiet are probed
+// at once.
+//
 // The periods and limits are options: a daemon that probes the peers from which
 // it awaits responses needs only infrequent heartbeats.
 //
@@ -38,6 +45,12 @@
   Duration HeartbeatPeriod = 500ms;
   Duration SilenceLimit = 2s;
   Duration ConnectTimeout = 1s;
+  // Time for the peer to send anything after a frame was sent to it. Nearly all
+  // requests are answered sooner.
+  Duration ProbeAfter = 250ms;
+  // The same after a probe. A host whose processor is throttled may take 100 ms
+  // to answer, one whose link is full about half a second.
+  Duration ProbeLimit = 1s;
 };
 
 class TcpTransport final : public PeerTransport,
@@ -93,6 +106,12 @@
   void handleGoodbye(Link &From, std::string_view Payload);
   void checkLinks(TimePoint Now);
   bool mustDrop(const Link &Candidate, TimePoint Now) const;
+  // Whether a probe on the stream was not answered in time.
+  bool isSilent(const Link &Candidate, TimePoint Now) const;
+  void probeIfQuiet(Link &Candidate, TimePoint Now);
+  void dropSilent(Link &Silent, TimePoint Now);
+  void probeQuietLinks(TimePoint Now);
+  void closeLink(Link &Closed, PeerDisconnect Reason);
   bool releaseIfIdle(Link &Candidate, TimePoint Now);
   template <typename T> void sendOn(Link &To, FrameType Type, const T &Message);
   void countSent(FrameType Type, size_t Bytes);
@@ -120,6 +139,7 @@
   int64_t HeartbeatSequence = 0;
   int64_t Instance = 1;
   TimePoint LastCheck;
+  TimePoint LastHeartbeat;
   // Timeouts are counted from here at the earliest: before it this process was
   // paused and did not read.
   TimePoint TimeoutsCountFrom;
--- a/cyclamenwind/peer/transport.h
+++ b/cyclamenwind/peer/transport.h
@@ -25,6 +25,7 @@
 enum class PeerDisconnect {
   NeverConnected, // No frame sent on the stream reached the peer.
   Lost,           // Frames sent on the stream may have reached the peer.
+  Silent,         // As Lost; the peer did not answer for too long.
   Retired,        // Closed by handshake: all frames sent on it were delivered.
 };
 
--- a/cyclamenwind/traffic/inbound_calls.cpp
+++ b/cyclamenwind/traffic/inbound_calls.cpp
@@ -172,7 +172,7 @@
 }
 
 void InboundCalls::peerDisconnected(const Address &Peer, PeerDisconnect Cause) {
-  if (Cause != PeerDisconnect::Lost)
+  if (Cause != PeerDisconnect::Lost && Cause != PeerDisconnect::Silent)
     return;
   std::vector<uint64_t> Numbers;
   for (auto Position = PeerCalls.lower_bound({Peer, INT64_MIN});
