Relays announce their revision again when a stream was lost

Seen by callers: 404 on a new route for up to 2 s and more after a relay had written the patch to a stream that was silent. Cause: a lost patch was noticed only at the next announcement (up to 2 s), and then the daemon waited 0.8 s for a watch of the platform that it does not make and read the platform. Change: a relay announces itself at once to the peer of a lost stream, which opens a new one; a daemon that does not watch the platform requests the configuration from the sender after 0.2 s.

--- a/cyclamenwind/mesh/config_relay.cpp
+++ b/cyclamenwind/mesh/config_relay.cpp
@@ -23,6 +23,7 @@
 
 void ConfigRelay::start(Kernel &TheKernel) {
   Time = &TheKernel.clock();
+  Timers = &TheKernel.scheduler();
   State = &TheKernel.find<MeshState>("mesh_state");
   Store = &TheKernel.find<StoreSync>("store_sync");
   Peers = &TheKernel.find<PeerTransport>("peers");
@@ -30,6 +31,9 @@
                 [this](const Address &From, std::string_view Payload) {
                   receive(From, Payload);
                 });
+  Peers->onPeerDisconnect([this](const Address &Peer, PeerDisconnect Reason) {
+    peerDisconnected(Peer, Reason);
+  });
   State->onConfigReplaced(
       [this](uint64_t PreviousRevision, std::string_view PreviousText) {
         configChanged(PreviousRevision, PreviousText);
@@ -127,6 +131,38 @@
       Peers->send(Relay, FrameType::ConfigPush, WithPatch);
 }
 
+// The announcement opens a new stream to the peer.
+void ConfigRelay::peerDisconnected(const Address &Peer, PeerDisconnect Reason) {
+  if (Reason != PeerDisconnect::Lost && Reason != PeerDisconnect::Silent)
+    return;
+  if (LostStreams.empty())
+    Timers->defer([this, StillAlive = Alive] {
+      if (!*StillAlive)
+        return;
+      std::set<Address> Lost;
+      Lost.swap(LostStreams);
+      announceTo(Lost);
+    });
+  LostStreams.insert(Peer);
+}
+
+void ConfigRelay::announceTo(const std::set<Address> &Receivers) {
+  std::optional<wire::RelaySource::type> Source = source();
+  if (!Source)
+    return;
+  std::set<Address> Members = Store->domainPeers();
+  if (Store->isConfigWatcher()) {
+    std::vector<Address> Relays = Store->remoteRelays(Receivers);
+    Members.insert(Relays.begin(), Relays.end());
+  }
+  wire::ConfigPush Message;
+  Message.revision = static_cast<int64_t>(State->configRevision());
+  Message.source = *Source;
+  for (const Address &Peer : Receivers)
+    if (Members.count(Peer) != 0)
+      Peers->sendMessage(Peer, FrameType::ConfigPush, Message);
+}
+
 void ConfigRelay::receive(const Address &From, std::string_view Payload) {
   Result<wire::ConfigPush, FrameError> Decoded =
       decodeMessage<wire::ConfigPush>(Payload);
--- a/cyclamenwind/mesh/config_relay.h
+++ b/cyclamenwind/mesh/config_relay.h
@@ -10,9 +10,11 @@
 // A relay that hears from no watcher within RelayTimeout, and any other daemon
 // that hears from no relay, watches the platform itself; one that missed a
 // patch sees that its revision is older and requests the configuration
-// (peer_sync.h). A watcher that cannot reach the platform says so. It is
-// replaced then, and the daemons that hear of it do not all call the platform
-// at once: in an outage they would learn nothing.
+// (peer_sync.h). Patches written to a stream that is lost may not have arrived,
+// so a relay announces its revision again to the peer of a lost stream. A
+// watcher that cannot reach the platform says so. It is replaced then, and the
+// daemons that hear of it do not all call the platform at once: in an outage
+// they would learn nothing.
 
 #ifndef CYCLAMENWIND_MESH_CONFIG_RELAY_H
 #define CYCLAMENWIND_MESH_CONFIG_RELAY_H
@@ -31,19 +33,25 @@
 
   std::string_view name() const override { return "config_relay"; }
   void start(Kernel &TheKernel) override;
-  void stop() override { AnnounceTimer.reset(); }
+  void stop() override {
+    *Alive = false;
+    AnnounceTimer.reset();
+  }
 
 private:
   void configChanged(uint64_t PreviousRevision, std::string_view PreviousText);
   void tick();
   void push(const std::string &Patch, uint64_t BaseRevision);
   void receive(const Address &From, std::string_view Payload);
+  void peerDisconnected(const Address &Peer, PeerDisconnect Reason);
+  void announceTo(const std::set<Address> &Receivers);
   bool isRelayed() const;
   bool hasEarlierRelay() const;
   std::optional<wire::RelaySource::type> source() const;
 
   const MeshCodec &Codec;
   Clock *Time = nullptr;
+  Scheduler *Timers = nullptr;
   MeshState *State = nullptr;
   StoreSync *Store = nullptr;
   PeerTransport *Peers = nullptr;
@@ -58,6 +66,10 @@
   // This daemon's value of UnreachablePatience.
   Duration Patience{};
   TimerHandle AnnounceTimer;
+  // Peers whose stream was lost and that get an announcement in the next
+  // iteration of the event loop.
+  std::set<Address> LostStreams;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -17,8 +17,9 @@
 // (0.7 s). A configuration must be applied within two seconds of its
 // acceptance.
 constexpr Duration CatchUpDelay = 800ms;
-// The same while the platform is unreachable; also the time between a read of
-// the platform and the request to the peer.
+// The same while this daemon does not watch the platform: a relay's patch
+// arrives within milliseconds. Also the time between a read of the platform and
+// the request to the peer.
 constexpr Duration ShortCatchUpDelay = 200ms;
 // Interval between attempts to connect to a daemon; doubled at each failure, at
 // most MaxProbeDoublings times.
@@ -149,12 +150,13 @@
   if (CatchUpTimer)
     return;
   uint64_t OldRevision = State->configRevision();
-  Duration Delay = Store->configReachable() ? CatchUpDelay : ShortCatchUpDelay;
-  CatchUpTimer = Timers->after(Delay, [this, Peer, OldRevision] {
+  bool Watches = Store->configReachable() && Store->watchesConfig();
+  Duration Delay = Watches ? CatchUpDelay : ShortCatchUpDelay;
+  CatchUpTimer = Timers->after(Delay, [this, Peer, OldRevision, Watches] {
     TimerHandle Fired = std::move(CatchUpTimer);
     if (State->configRevision() != OldRevision)
       return;
-    if (!Store->configReachable()) {
+    if (!Watches) {
       pull(Peer);
       return;
     }
--- a/cyclamenwind/mesh/peer_sync.h
+++ b/cyclamenwind/mesh/peer_sync.h
@@ -3,10 +3,11 @@
 //
 // Daemons announce changes of their local backend servers to each other. Each
 // forwarded request and each reply carries the revision of its sender's
-// configuration; a daemon with an older revision reads the newer configuration
-// from the platform or, if that gives none, requests it from the sender. A
-// daemon that cannot read the platform requests the whole state of a peer once
-// a second. Each daemon keeps streams open to all known daemons, so that peers
+// configuration; a daemon with an older revision that watches the platform
+// reads the newer configuration there and, if that gives none, requests it from
+// the sender; any other daemon requests it from the sender at once. A daemon
+// that cannot read the platform requests the whole state of a peer once a
+// second. Each daemon keeps streams open to all known daemons, so that peers
 // reach a restarted process even while the platform is unreachable.
 //
 // A host that has been unreachable for RemoveAfter is treated as dead: the
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -143,14 +143,16 @@
 }
 
 // By failure domain, the addresses of this daemon and of the connected daemons
-// that may be relays, in ascending order.
-std::map<std::string, std::vector<Address>> StoreSync::relayCandidates() const {
+// that may be relays, in ascending order. Daemons of AssumeConnected count as
+// connected.
+std::map<std::string, std::vector<Address>>
+StoreSync::relayCandidates(const std::set<Address> &AssumeConnected) const {
   std::map<std::string, std::set<Address>> Sorted;
   Sorted[FailureDomain].insert(Peers->self());
   for (const auto &[Id, Endpoint] : State->directory().all()) {
     const Address &Daemon = Endpoint.DaemonAddress;
     if (Endpoint.State != EndpointState::Gone && Daemon != Peers->self() &&
-        Peers->isConnected(Daemon) &&
+        (Peers->isConnected(Daemon) || AssumeConnected.count(Daemon) != 0) &&
         !(CannotReachPlatform && CannotReachPlatform(Daemon)))
       Sorted[Endpoint.FailureDomain].insert(Daemon);
   }
@@ -186,9 +188,10 @@
   return false;
 }
 
-std::vector<Address> StoreSync::remoteRelays() const {
+std::vector<Address>
+StoreSync::remoteRelays(const std::set<Address> &AssumeConnected) const {
   std::vector<Address> Result;
-  for (const auto &[Domain, Daemons] : relayCandidates())
+  for (const auto &[Domain, Daemons] : relayCandidates(AssumeConnected))
     if (Domain != FailureDomain)
       Result.insert(Result.end(), Daemons.begin(),
                     Daemons.begin() +
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -89,8 +89,14 @@
   // Whether it is one of the relays that watch the configuration.
   bool isConfigWatcher() const;
 
-  // The relays of the other failure domains that are connected.
-  std::vector<Address> remoteRelays() const;
+  // The relays of the other failure domains that are connected. Daemons of
+  // AssumeConnected count as connected.
+  std::vector<Address>
+  remoteRelays(const std::set<Address> &AssumeConnected = {}) const;
+
+  // Whether this daemon watches the configuration itself, rather than relying
+  // on relays.
+  bool watchesConfig() const { return configWatchMode() == WatchMode::Watch; }
 
   // Called when a relay's patch has given the configuration of Revision.
   void onConfigPushed(uint64_t Revision);
@@ -142,7 +148,8 @@
   void onUnreadableRecord(const PlatformObject &Object);
   void flushAnnouncements();
   void announceEndpoint(const PlatformObject &Object);
-  std::map<std::string, std::vector<Address>> relayCandidates() const;
+  std::map<std::string, std::vector<Address>>
+  relayCandidates(const std::set<Address> &AssumeConnected = {}) const;
   WatchMode configWatchMode() const;
   PrefixWatchOptions configWatchOptions();
   PrefixWatchOptions staleWatchOptions(const std::string &Prefix,
--- a/testing/fake_peers.cpp
+++ b/testing/fake_peers.cpp
@@ -19,6 +19,19 @@
   reportDisconnect(B, A, PeerDisconnect::Lost);
 }
 
+void FakeNetwork::silence(const Address &A, const Address &B) {
+  Silenced.insert(ordered(A, B));
+}
+
+void FakeNetwork::closeSilentStreams() {
+  std::set<std::pair<Address, Address>> Closed;
+  Closed.swap(Silenced);
+  for (const auto &[A, B] : Closed) {
+    reportDisconnect(A, B, PeerDisconnect::Silent);
+    reportDisconnect(B, A, PeerDisconnect::Silent);
+  }
+}
+
 void FakeNetwork::pause(const Address &Member, bool Pause) {
   if (Pause) {
     Paused[Member];
@@ -35,6 +48,8 @@
 }
 
 void FakeNetwork::transmit(InFlightFrame Frame, bool Datagram) {
+  if (Silenced.count(ordered(Frame.From, Frame.To)) != 0)
+    return;
   Duration Latency =
       Delay +
       Duration(static_cast<int64_t>(Delay.count() * Spread * Rng.fraction()));
--- a/testing/fake_peers.h
+++ b/testing/fake_peers.h
@@ -32,6 +32,13 @@
   // partition.
   void cut(const Address &A, const Address &B, bool Cut);
 
+  // Loses all frames between A and B from now on; neither is told.
+  void silence(const Address &A, const Address &B);
+
+  // Closes all streams that were silenced and reports that to both sides; new
+  // streams work.
+  void closeSilentStreams();
+
   // Pauses a member, which holds back frames to it, or resumes it, which
   // delivers them.
   void pause(const Address &Member, bool Pause);
@@ -70,6 +77,7 @@
   Random &Rng;
   std::map<Address, FakePeers *> Transports;
   std::set<std::pair<Address, Address>> Partitions;
+  std::set<std::pair<Address, Address>> Silenced;
   std::map<Address, std::vector<InFlightFrame>> Paused;
   // Arrival time of the last frame sent on each stream, by direction; a later
   // frame never arrives before it.
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -309,6 +309,27 @@
     CHECK(TheDaemon->State->routes()->config().Version == 3);
 }
 
+// Guards against 404 on a new route: patches written to silent streams were
+// lost and the receivers went on relying on the relay.
+TEST_CASE(
+    "patches are lost on silent streams: all apply the configuration "
+    "within two seconds although the streams are closed only after 1.5 s") {
+  StoreWorld World;
+  auto Daemons = World.fleet(6);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(8s);
+  for (int I = 1; I <= 6; ++I)
+    for (int J = 1; J < I; ++J)
+      World.Network.silence({"10.0.0." + std::to_string(I), 7000},
+                            {"10.0.0." + std::to_string(J), 7000});
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(1500ms);
+  World.Network.closeSilentStreams();
+  World.Time.advance(500ms);
+  for (const auto &TheDaemon : Daemons)
+    CHECK(TheDaemon->State->routes()->config().Version == 2);
+}
+
 TEST_CASE("a watch on an unresponsive connection is re-established when a peer "
           "reports a newer revision") {
   StoreWorld World;
