A silent stream to a peer makes the daemon check its watches, on new connections

Seen by callers: 404 on a new route. Cause: a watch whose connection went silent was noticed after 3 s (keep-alive) or after a call that itself went out on an idle connection, silent as well, and took another second to fail. Tests: mesh_store_sync_test 'watches are lost together with streams', platform_store_client_test 'a call after a pause'.

--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -45,6 +45,10 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveRollout(From, Payload);
                 });
+  Peers->onPeerDisconnect([this](const Address &, PeerDisconnect Reason) {
+    if (Reason == PeerDisconnect::Silent)
+      revalidateWatches();
+  });
   auto OnReachability = [this](bool Reachable) {
     if (!Reachable)
       revalidateWatches();
@@ -199,8 +203,9 @@
   return Result;
 }
 
-// Called after a call without an answer: the watch calls that were pending at
-// the same time are probably lost too.
+// Called after a call without an answer and after a stream to a peer stopped
+// working: the watch calls that were pending at the same time are probably lost
+// too.
 void StoreSync::revalidateWatches() {
   for (PrefixWatch *Watch :
        {ConfigWatch.get(), RolloutWatch.get(), EndpointWatch.get()})
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -5,13 +5,13 @@
 // status of rollouts. Every write is conditional on the version that was read.
 // After a write without an answer the object is read back to learn the outcome.
 //
-// A lost watch is detected when another call gets no answer, or when a peer has
-// a newer configuration. A few daemons of each failure domain, its relays,
-// watch records and rollouts by stale watches, which may be seconds late and
-// cost a tenth of an ordinary watch. Relays send the changes to the other
-// daemons, and so do the daemons that make the changes. Daemons that are not
-// relays also list records and rollouts, at intervals that grow to
-// PrefixWatchOptions::MaxListPeriod.
+// A lost watch is detected when another call gets no answer, when a stream to a
+// peer stops working, or when a peer has a newer configuration. A few daemons
+// of each failure domain, its relays, watch records and rollouts by stale
+// watches, which may be seconds late and cost a tenth of an ordinary watch.
+// Relays send the changes to the other daemons, and so do the daemons that make
+// the changes. Daemons that are not relays also list records and rollouts, at
+// intervals that grow to PrefixWatchOptions::MaxListPeriod.
 //
 // The configuration is watched by a few of the relays, in different failure
 // domains as far as possible; config_relay.h describes how it reaches the other
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -330,6 +330,28 @@
     CHECK(TheDaemon->State->routes()->config().Version == 2);
 }
 
+// Guards against a watch that is believed to work while its connection is
+// silent: the platform's calls were checked only after three seconds.
+TEST_CASE(
+    "watches are lost together with streams to peers: changes are applied "
+    "within two seconds of the first closed stream") {
+  StoreWorld World;
+  auto Daemons = World.fleet(6);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(35s); // All have started a new watch call.
+  World.Platform.setSilent(true);
+  World.Platform.setSilent(false);
+  for (int I = 2; I <= 6; ++I)
+    World.Network.silence({"10.0.0.1", 7000},
+                          {"10.0.0." + std::to_string(I), 7000});
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(1500ms);
+  World.Network.closeSilentStreams();
+  World.Time.advance(500ms);
+  for (const auto &TheDaemon : Daemons)
+    CHECK(TheDaemon->State->routes()->config().Version == 2);
+}
+
 TEST_CASE("a watch on an unresponsive connection is re-established when a peer "
           "reports a newer revision") {
   StoreWorld World;
--- a/tests/platform_store_client_test.cpp
+++ b/tests/platform_store_client_test.cpp
@@ -1,6 +1,7 @@
 // The store client against scripted answers: entries of other writers.
 
 #include "platform/store_client.h"
+#include "testing/raw_tcp.h"
 
 #include <catch2/catch.hpp>
 
@@ -164,3 +165,31 @@
   Script.Sender->answerAll();
   CHECK(Error == PlatformError::Malformed);
 }
+
+// Guards against calls on a connection that stopped working while it was idle:
+// each of them took a second to fail.
+TEST_CASE("a call after a pause does not use a silent idle connection") {
+  Loop TheLoop;
+  Address Store = testing::loopbackAddress(8301);
+  testing::RawListener Server(TheLoop, Store, [](testing::RawStream &Stream) {
+    Stream.Received.clear();
+    std::string Body = entry("main", "{}");
+    Stream.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  });
+  std::unique_ptr<PlatformClient> Client =
+      platform::makeStoreClient(TheLoop, Store, 1s);
+  int Answers = 0;
+  auto Read = [&] {
+    Client->read("config/main", [&](Result<PlatformObject, PlatformError> R) {
+      Answers += R ? 1 : 0;
+    });
+  };
+  Read();
+  REQUIRE(testing::runUntil(TheLoop, [&] { return Answers == 1; }));
+  Server.Streams[0]->dropArrivals();
+  testing::runFor(TheLoop, 600ms);
+  Read();
+  CHECK(testing::runUntil(
+      TheLoop, [&] { return Answers == 2; }, 500ms));
+}
