Rate limits that servers name are kept by the daemon beside the server

Cause: Server-Limit was read nowhere. Change: the daemon beside the server, which alone sees all requests to it, starts no more of them per second than the limit, evenly; the others wait in its queue by payoff and objective as when slots are short, or are refused before they reach the server and go to another one. Replies carry the limit and the wait, so that senders choose other servers; requests carry the limit back to a daemon that was restarted, for the same incarnation of the server only. Ruled out: a limit in each sender (their sum exceeds it), shares of it (uneven senders leave most unused).

--- a/cyclamenwind/mesh/admission_queue.cpp
+++ b/cyclamenwind/mesh/admission_queue.cpp
@@ -16,6 +16,11 @@
 // Factor by which each further request decays the counts of admissions; mostly
 // the last fifty requests count.
 constexpr double AdmissionDecay = 0.98;
+// A server that takes nothing still gets a request every two seconds: only its
+// answers tell when the limit ends.
+constexpr double MinRateLimit = 0.5;
+// The part of a second's requests that may start at once.
+constexpr double RateBurstSeconds = 0.2;
 
 void updateAverage(std::optional<Duration> &Mean, Duration Newest) {
   if (!Mean) {
@@ -46,23 +51,46 @@
 }
 
 // On average, one slot becomes free every serviceTime() / Slots, and those
-// ahead in the queue occupy the slots for their expected times first.
-Duration AdmissionQueue::waitAt(const Key &Position) const {
-  if (running() < Slots)
-    return Duration::zero();
+// ahead in the queue occupy the slots for their expected times first. Each of
+// them also takes its part of the rate limit.
+Duration AdmissionQueue::waitAt(const Key &Position, TimePoint Now) const {
   Duration Work = serviceTime();
+  int RequestsAhead = 0;
   for (const auto &[Ahead, Handle] : Order) {
     if (Position < Ahead)
       break;
     Work += expectedTime(Queue.at(Handle).Request.Route);
+    ++RequestsAhead;
   }
-  return Work / std::max(1, Slots);
+  Duration ForSlot =
+      running() < Slots ? Duration::zero() : Work / std::max(1, Slots);
+  Duration ForRate =
+      Rate ? Rate->timeUntilAvailable(RequestsAhead, Now) : Duration::zero();
+  return std::max(ForSlot, ForRate);
 }
 
-Duration AdmissionQueue::expectedWait() const {
+void AdmissionQueue::limitRate(std::optional<double> PerSecond, TimePoint Now) {
+  RateLimit = PerSecond;
+  if (!PerSecond) {
+    Rate.reset();
+    return;
+  }
+  double Limit = std::max(*PerSecond, MinRateLimit);
+  double Burst = std::max(1.0, Limit * RateBurstSeconds);
+  if (Rate)
+    Rate->setRate(Limit, Burst, Now);
+  else
+    Rate.emplace(Limit, Burst);
+}
+
+bool AdmissionQueue::takeRate(TimePoint Now) {
+  return !Rate || Rate->tryTake(/*Reserve=*/0, Now);
+}
+
+Duration AdmissionQueue::expectedWait(TimePoint Now) const {
   constexpr int AnyPriority = std::numeric_limits<int>::max();
   constexpr int AnyPatience = std::numeric_limits<int>::max();
-  return waitAt(Key(true, AnyPriority, AnyPatience, Arrivals));
+  return waitAt(Key(true, AnyPriority, AnyPatience, Arrivals), Now);
 }
 
 bool AdmissionQueue::isStarved(const std::string &Route) const {
@@ -83,7 +111,7 @@
 
 QueueDecision AdmissionQueue::offer(const QueuedRequest &Request,
                                     TimePoint Now) {
-  if (running() < Slots && Order.empty()) {
+  if (running() < Slots && Order.empty() && takeRate(Now)) {
     Running[Request.Handle] = {Request.Route, Now};
     countOffer(Request.Route, true);
     return QueueDecision::Run;
@@ -91,7 +119,7 @@
   bool GoesFirst = Request.Nested || isStarved(Request.Route);
   Key Position{!GoesFirst, Request.Priority, patience(Request, Now),
                Arrivals++};
-  bool Admitted = Now + waitAt(Position) <= latestStart(Request);
+  bool Admitted = Now + waitAt(Position, Now) <= latestStart(Request);
   countOffer(Request.Route, Admitted);
   if (!Admitted)
     return QueueDecision::Refused;
@@ -121,6 +149,12 @@
   return Actions;
 }
 
+QueueActions AdmissionQueue::startDue(TimePoint Now) {
+  QueueActions Actions;
+  runWaiting(Now, Actions);
+  return Actions;
+}
+
 QueueActions AdmissionQueue::expire(TimePoint Now) {
   QueueActions Actions;
   for (const auto &[Handle, Entry] : Queue)
@@ -152,15 +186,16 @@
 void AdmissionQueue::runWaiting(TimePoint Now, QueueActions &Actions) {
   while (running() < Slots && !Order.empty()) {
     RequestHandle Handle = Order.begin()->second;
-    Order.erase(Order.begin());
     const QueuedRequest &Request = Queue.at(Handle).Request;
     if (Now > latestStart(Request)) {
       Actions.Expired.push_back(Handle);
-    } else {
+    } else if (takeRate(Now)) {
       Running[Handle] = {Request.Route, Now};
       Actions.Run.push_back(Handle);
+    } else {
+      return;
     }
-    Queue.erase(Handle);
+    withdraw(Handle);
   }
 }
 
--- a/cyclamenwind/mesh/admission_queue.h
+++ b/cyclamenwind/mesh/admission_queue.h
@@ -1,14 +1,17 @@
 // AdmissionQueue: decides whether a backend server runs a request now, later or
 // not at all.
 //
-// At most as many requests run on a server as it has slots. Other requests wait
-// if they are expected to end within their latency objective. Nested requests
-// come first, because the servers that sent them hold a slot until they end;
-// then the more urgent priority; then the request that can wait less by a
-// factor of two or more, since a long objective leaves time to let others pass;
-// then the earlier arrival. Ordering by the latest start instead would not help
-// under sustained overload: every waiting request is then close to it. A route
-// whose requests are admitted much less often than those of all routes together
+// At most as many requests run on a server as it has slots, and no more start
+// per second than the server's rate limit allows, if it has one. The limit is
+// spent evenly: what was not used a moment ago cannot be used later, because a
+// server names a limit when it is short of capacity. Other requests wait if
+// they are expected to end within their latency objective. Nested requests come
+// first, because the servers that sent them hold a slot until they end; then
+// the more urgent priority; then the request that can wait less by a factor of
+// two or more, since a long objective leaves time to let others pass; then the
+// earlier arrival. Ordering by the latest start instead would not help under
+// sustained overload: every waiting request is then close to it. A route whose
+// requests are admitted much less often than those of all routes together
 // (StarvedShare) is placed among the nested requests until its rate has
 // recovered, so that no route starves. A request that cannot end in time is
 // refused when it is offered; a waiting request that can no longer end in time
@@ -22,6 +25,7 @@
 #define CYCLAMENWIND_MESH_ADMISSION_QUEUE_H
 
 #include "cyclamenwind/base/time.h"
+#include "cyclamenwind/store/token_bucket.h"
 
 #include <cstdint>
 #include <map>
@@ -67,6 +71,15 @@
   // Removes and returns the waiting requests that can no longer end in time.
   QueueActions expire(TimePoint Now);
 
+  // Starts waiting requests for which the rate limit has room by now. Has to be
+  // called every few milliseconds while requests wait.
+  QueueActions startDue(TimePoint Now);
+
+  // Sets or removes the rate limit, in requests per second, of at least
+  // MinRateLimit.
+  void limitRate(std::optional<double> PerSecond, TimePoint Now);
+  std::optional<double> rateLimit() const { return RateLimit; }
+
   // Removes a waiting request. Returns whether it was waiting.
   bool withdraw(RequestHandle Handle);
 
@@ -83,7 +96,7 @@
   Duration serviceTime() const { return Average.value_or(Duration::zero()); }
 
   // Expected wait of a request that would be queued last now.
-  Duration expectedWait() const;
+  Duration expectedWait(TimePoint Now) const;
 
 private:
   // Whether the request is neither nested nor of a starved route, its priority,
@@ -105,7 +118,9 @@
 
   Duration expectedTime(const std::string &Route) const;
   // Expected wait of a request that would be queued at Position.
-  Duration waitAt(const Key &Position) const;
+  Duration waitAt(const Key &Position, TimePoint Now) const;
+  // Whether the rate limit allows a request to start, which is counted.
+  bool takeRate(TimePoint Now);
   // Latest time at which Request can start to end in time.
   TimePoint latestStart(const QueuedRequest &Request) const;
   // How long Request can wait from Now on, as a power of two in milliseconds.
@@ -121,6 +136,8 @@
   std::set<std::pair<Key, RequestHandle>> Order;
   std::map<std::string, Admissions> ByRoute;
   Admissions AllRoutes;
+  std::optional<double> RateLimit; // As it was set.
+  std::optional<TokenBucket> Rate; // Has a value if RateLimit has one.
   std::optional<Duration> Average;
   std::map<std::string, Duration> RouteAverage;
 };
--- a/cyclamenwind/mesh/header_codec.h
+++ b/cyclamenwind/mesh/header_codec.h
@@ -38,6 +38,9 @@
   // The body has a content encoding that was applied between the server and
   // this daemon, so its bytes are not those that the server sent.
   bool Encoded = false;
+  // Requests per second that the server takes from all hosts together, if it
+  // names a limit; not negative.
+  std::optional<double> RateLimit;
 };
 
 class HeaderCodec {
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -6,7 +6,8 @@
 namespace cyclamenwind {
 namespace {
 
-// Interval between checks for waiting requests that can no longer end in time.
+// Interval between checks for waiting requests that can no longer end in time
+// or for which the server's rate limit has room.
 constexpr Duration ExpiryPeriod = 25ms;
 // After a failed connection, requests to the server are refused for this long.
 constexpr Duration ConnectBackoff = 400ms;
@@ -24,12 +25,13 @@
 // of it.
 constexpr Duration ShortTransferWait = 100ms;
 
-constexpr std::array<EnumName<ForwardError>, 13> ForwardErrorNames = {{
+constexpr std::array<EnumName<ForwardError>, 14> ForwardErrorNames = {{
     {ForwardError::None, "none"},
     {ForwardError::NoServer, "no_server"},
     {ForwardError::Leaving, "leaving"},
     {ForwardError::Stopping, "stopping"},
     {ForwardError::Overloaded, "overloaded"},
+    {ForwardError::RateLimited, "rate_limited"},
     {ForwardError::Expired, "expired"},
     {ForwardError::BadVersion, "bad_version"},
     {ForwardError::ConnectFailed, "connect_failed"},
@@ -102,10 +104,13 @@
 void InboundProxy::serverChanged(const MeshEndpoint &Record) {
   eraseGoneServers(Record.Id);
   auto [Position, IsNew] = LocalServers.emplace(
-      Record.Id, Server{Record, AdmissionQueue(Record.Slots), {}, {}, false});
+      Record.Id, Server{Record, AdmissionQueue(Record.Slots), {}, {}});
   Server &Changed = Position->second;
-  if (!IsNew && Changed.Record.StartedAtMs != Record.StartedAtMs)
+  if (!IsNew && Changed.Record.StartedAtMs != Record.StartedAtMs) {
     Changed.Failures = {};
+    Changed.HasResponded = false;
+    Changed.Queue.limitRate(std::nullopt, Time->now());
+  }
   Changed.Record = Record;
   Changed.TimedOut = false;
   Changed.Queue.resize(Record.Slots);
@@ -135,8 +140,15 @@
     std::unique_ptr<HttpCall> Finished = std::move(HealthChecks[Handle]);
     HealthChecks.erase(Handle);
     constexpr int Healthy = 200;
+    auto Local = LocalServers.find(Id);
+    ResponseMetadata Metadata;
+    if (Outcome)
+      Metadata = Codec.responseMetadata(Outcome.value());
+    // That a health check names no limit does not end one.
+    if (Local != LocalServers.end() && (Metadata.RateLimit))
+      applyStatements(Local->second, Metadata, Time->now());
     bool IsHealthy = Outcome && Outcome.value().Status == Healthy &&
-                     Codec.responseMetadata(Outcome.value()).InstanceId == Id;
+                     Metadata.InstanceId == Id;
     logInfo("server_health_checked",
             {{"server", Id},
              {"status", Outcome ? Outcome.value().Status : 0},
@@ -190,6 +202,7 @@
       isLinkFull(NewRequest.Message, Target->Queue))
     Error = ForwardError::Overloaded;
   if (Error == ForwardError::None) {
+    adoptKnownLimit(*Target, NewRequest.Message, Now);
     QueuedRequest Queued{Handle,
                          NewRequest.Message.route,
                          NewRequest.Message.nested,
@@ -203,7 +216,8 @@
       ExpiryTimer = Timers->every(ExpiryPeriod, [this] { expireQueues(); });
     if (Decision != QueueDecision::Refused)
       return Handle;
-    Error = ForwardError::Overloaded;
+    bool SlotsFree = Target->Queue.running() < Target->Queue.slots();
+    Error = SlotsFree ? ForwardError::RateLimited : ForwardError::Overloaded;
   }
   Timers->defer([this, Handle, Error] {
     if (Requests.count(Handle) != 0)
@@ -212,6 +226,29 @@
   return Handle;
 }
 
+// What the server said before this process started.
+void InboundProxy::adoptKnownLimit(Server &Target,
+                                   const wire::ForwardRequest &Message,
+                                   TimePoint Now) {
+  if (!Target.HasResponded && Message.__isset.knownRateLimit &&
+      Message.knownRateLimit >= 0 &&
+      Message.knownLimitBorn == Target.Record.StartedAtMs)
+    Target.Queue.limitRate(Message.knownRateLimit, Now);
+}
+
+// A rate limit holds until a response names another one or none.
+void InboundProxy::applyStatements(Server &From,
+                                   const ResponseMetadata &Metadata,
+                                   TimePoint Now) {
+  bool WasLimited = From.Queue.rateLimit().has_value();
+  if (Metadata.RateLimit.has_value() != WasLimited)
+    logInfo("server_rate_limit", {{"server", From.Record.Id},
+                                  {"limited", int(!WasLimited)},
+                                  {"per_s", Metadata.RateLimit.value_or(0)}});
+  From.HasResponded = true;
+  From.Queue.limitRate(Metadata.RateLimit, Now);
+}
+
 // Whether the response to Message would miss its objective because it waits for
 // other large responses on the link of this host.
 bool InboundProxy::isLinkFull(const wire::ForwardRequest &Message,
@@ -285,6 +322,7 @@
   } else {
     HttpResponse &Response = Outcome.value();
     ResponseMetadata Metadata = Codec.responseMetadata(Response);
+    applyStatements(From, Metadata, Now);
     constexpr int FirstRedirect = 300;
     bool Success = Response.Status < FirstRedirect;
     if (Metadata.NotRun) {
@@ -347,8 +385,10 @@
   TimePoint Now = Time->now();
   int Waiting = 0;
   for (auto &[Id, Local] : LocalServers) {
-    if (Local.Queue.queued() > 0)
+    if (Local.Queue.queued() > 0) {
       applyQueueActions(Local.Queue.expire(Now));
+      applyQueueActions(Local.Queue.startDue(Now));
+    }
     Waiting += Local.Queue.queued();
   }
   if (Waiting == 0)
@@ -371,9 +411,11 @@
   Reply.queued = From->Queue.queued();
   Reply.limit = From->Queue.slots();
   Reply.serviceTimeUs = From->Queue.serviceTime().count();
-  Reply.expectedWaitUs = From->Queue.expectedWait().count();
+  Reply.expectedWaitUs = From->Queue.expectedWait(Time->now()).count();
   Reply.failurePermille =
       static_cast<int32_t>(From->Failures.value() * PermilleScale);
+  if (std::optional<double> Limit = From->Queue.rateLimit())
+    Reply.__set_rateLimit(*Limit);
 }
 
 void InboundProxy::finish(RequestHandle Handle, wire::ForwardReply Reply) {
--- a/cyclamenwind/mesh/inbound_proxy.h
+++ b/cyclamenwind/mesh/inbound_proxy.h
@@ -2,11 +2,15 @@
 //
 // Only this daemon connects to the local backend server, so the inbound proxy
 // decides whether a request reaches it. It refuses requests after the server
-// has reported that it is leaving, requests that the server's slots cannot
-// serve in time (admission_queue.h), requests meant for another incarnation,
-// and requests to a version that was found to be bad. Such a refusal is sent
-// before any byte goes to the server, which guarantees that the request did not
-// run.
+// has reported that it is leaving, requests that the server's slots and its
+// rate limit cannot serve in time (admission_queue.h), requests meant for
+// another incarnation, and requests to a version that was found to be bad. Such
+// a refusal is sent before any byte goes to the server, which guarantees that
+// the request did not run.
+//
+// A server states its rate limit in its responses. The senders hear of it with
+// each reply and pass it on with each request, so that a restarted daemon knows
+// it before the server's first response.
 //
 // Requests come from the outbound proxies of peers and of this daemon. When the
 // sender cancels a request, the inbound proxy closes the connection on which
@@ -36,6 +40,7 @@
   Leaving,        // The server has reported that it is leaving.
   Stopping,       // This daemon is shutting down.
   Overloaded,     // The request was not expected to end in time.
+  RateLimited,    // The same, because of the server's rate limit.
   Expired,        // The request waited until it could no longer end in time.
   BadVersion,     // The server's version was found to be bad.
   ConnectFailed,  // The server does not accept connections.
@@ -119,6 +124,8 @@
     FailureShare Failures;
     TimePoint ConnectBackoffUntil;
     bool TimedOut = false; // See serverTimedOut().
+    // What the responses of this incarnation said.
+    bool HasResponded = false;
   };
   struct Request {
     wire::ForwardRequest Message;
@@ -143,6 +150,10 @@
                         Result<HttpResponse, HttpClientError> Outcome);
   bool isLinkFull(const wire::ForwardRequest &Message,
                   const AdmissionQueue &Queue) const;
+  void applyStatements(Server &From, const ResponseMetadata &Metadata,
+                       TimePoint Now);
+  void adoptKnownLimit(Server &Target, const wire::ForwardRequest &Message,
+                       TimePoint Now);
   void recordOutcome(Server &From, const Request &Ended,
                      const wire::ForwardReply &Reply, TimePoint Now);
   void applyQueueActions(const QueueActions &Actions);
--- a/cyclamenwind/mesh/mesh_balancer.cpp
+++ b/cyclamenwind/mesh/mesh_balancer.cpp
@@ -28,6 +28,10 @@
 // Random variation of the cost, so that daemons with the same data do not all
 // choose the same server.
 constexpr double CostJitter = 0.15;
+// A rate limit that was reported longer ago may have ended.
+constexpr Duration RateLimitMaxAge = 5s;
+// A server that takes no requests is asked again about as often.
+constexpr double MinRateLimit = 0.5;
 // Extra cost of a server that fails every request, in multiples of the service
 // time. Without it a server that fails immediately would look fast.
 constexpr double FailureFactor = 30;
@@ -120,11 +124,36 @@
       std::max(0.0, Server.Load.FailureShare - NormalFailureShare) * Weight;
   Cost += FailureFactor * Failures * std::max(ServiceTime, MeanServiceTime);
   Cost += Weight * static_cast<double>(Server.MeanTransit.count());
+  Cost += rateWait(Server, Now);
   if (Candidate.FailureDomain != FailureDomain)
     Cost += DomainCost;
   return Cost * (1 + CostJitter * (2 * Rng.fraction() - 1));
 }
 
+// Requests that this daemon has sent since the report take their part of the
+// limit first.
+double MeshBalancer::rateWait(const ServerState &Server, TimePoint Now) {
+  if (!Server.Load.RateLimit)
+    return 0;
+  constexpr double MicrosecondsPerSecond = 1e6;
+  Duration Wait = Server.Load.RateWait - (Now - Server.ReportedAt);
+  double SentSince =
+      std::max(0, Server.Outstanding - Server.OutstandingAtReport);
+  return static_cast<double>(std::max(Wait, Duration::zero()).count()) +
+         SentSince * MicrosecondsPerSecond /
+             std::max(*Server.Load.RateLimit, MinRateLimit);
+}
+
+std::optional<double> MeshBalancer::rateLimit(const MeshEndpoint &Server,
+                                              TimePoint Now) const {
+  auto Found = States.find(Server.Id);
+  if (Found == States.end() ||
+      Found->second.Load.LimitStartedAtMs != Server.StartedAtMs ||
+      Now - Found->second.ReportedAt > RateLimitMaxAge)
+    return std::nullopt;
+  return Found->second.Load.RateLimit;
+}
+
 double MeshBalancer::failureShare(const std::string &Id, TimePoint Now) const {
   auto Found = States.find(Id);
   if (Found == States.end())
--- a/cyclamenwind/mesh/mesh_balancer.h
+++ b/cyclamenwind/mesh/mesh_balancer.h
@@ -5,7 +5,8 @@
 // (running and queued requests, service time, share of failures), the requests
 // that this daemon has outstanding there, and the time that requests and their
 // responses spent on the way, which grows when a host's link or processor is
-// short. The weight of a report
+// short. A server that has named a rate limit costs the time until it takes
+// another request. The weight of a report
 // decays with age, so a server that was slow or failing gets requests again.
 // Servers that fail requests cost more; servers named by avoid() are chosen
 // only if no other candidate is left. Does no I/O and reads no clock.
@@ -17,6 +18,7 @@
 #include "cyclamenwind/mesh/endpoint.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +34,12 @@
   double FailureShare = 0;
   // Time that the request of this report and its response spent on the way.
   Duration Transit{};
+  // Requests per second that the server takes from all hosts, if it named a
+  // limit, the incarnation that did (MeshEndpoint::StartedAtMs), and the
+  // expected wait of another request because of it.
+  std::optional<double> RateLimit = {};
+  int64_t LimitStartedAtMs = 0;
+  Duration RateWait{};
 };
 
 // What matters of a request for the choice of a server.
@@ -70,6 +78,10 @@
   // the age of the report; zero without a report.
   double failureShare(const std::string &Id, TimePoint Now) const;
 
+  // The rate limit of Server if its incarnation reported it recently.
+  std::optional<double> rateLimit(const MeshEndpoint &Server,
+                                  TimePoint Now) const;
+
   void forget(const std::string &Id) { States.erase(Id); }
 
 private:
@@ -82,6 +94,8 @@
     TimePoint AvoidUntil;
   };
 
+  // Expected wait because of the server's rate limit, in microseconds.
+  static double rateWait(const ServerState &Server, TimePoint Now);
   bool isAvoided(const std::string &Id, TimePoint Now) const;
   double expectedCost(const MeshEndpoint &Candidate, double MeanServiceTime,
                       double DomainCost, TimePoint Now);
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -233,6 +233,10 @@
   Message.nested = TheCall.Nested;
   Message.route = TheCall.Route->Name;
   Message.configRevision = static_cast<int64_t>(TheCall.Table->revision());
+  if (std::optional<double> Limit = Balancer->rateLimit(Target, Now)) {
+    Message.__set_knownRateLimit(*Limit);
+    Message.knownLimitBorn = Target.StartedAtMs;
+  }
   return Message;
 }
 
@@ -282,13 +286,22 @@
   }
   Duration Transit =
       Now - TheAttempt.Sent - Duration(Reply.waitedUs + Reply.ranUs);
-  if (Reply.limit > 0)
-    Balancer->updateLoad(TheAttempt.EndpointId,
-                         {Reply.running, Reply.queued, Reply.limit,
-                          Duration(Reply.serviceTimeUs),
-                          Reply.failurePermille / PermilleScale,
-                          std::max(Transit, Duration::zero())},
-                         Now);
+  if (Reply.limit <= 0)
+    return;
+  EndpointLoad Load;
+  Load.Running = Reply.running;
+  Load.Queued = Reply.queued;
+  Load.Slots = Reply.limit;
+  Load.ServiceTime = Duration(Reply.serviceTimeUs);
+  Load.FailureShare = Reply.failurePermille / PermilleScale;
+  Load.Transit = std::max(Transit, Duration::zero());
+  if (Reply.__isset.rateLimit) {
+    Load.RateLimit = Reply.rateLimit;
+    Load.RateWait = Duration(Reply.expectedWaitUs);
+    const MeshEndpoint *Server = State->directory().find(TheAttempt.EndpointId);
+    Load.LimitStartedAtMs = Server == nullptr ? 0 : Server->StartedAtMs;
+  }
+  Balancer->updateLoad(TheAttempt.EndpointId, Load, Now);
 }
 
 bool OutboundProxy::mayRetry(const Call &TheCall, bool ReachedServer,
--- a/cyclamenwind/store/token_bucket.h
+++ b/cyclamenwind/store/token_bucket.h
@@ -16,6 +16,14 @@
   TokenBucket(double Rate, double Burst)
       : Rate(Rate), Burst(Burst), Tokens(Burst) {}
 
+  // Changes the rate and the capacity. Tokens beyond the capacity are lost.
+  void setRate(double NewRate, double NewBurst, TimePoint Now) {
+    refill(Now);
+    Rate = NewRate;
+    Burst = NewBurst;
+    Tokens = std::min(Burst, Tokens);
+  }
+
   // Takes a token if at least Reserve tokens remain afterwards.
   bool tryTake(double Reserve, TimePoint Now) {
     refill(Now);
@@ -26,16 +34,19 @@
   }
 
   // Time until tryTake(Reserve) succeeds if no other token is taken meanwhile.
-  Duration timeUntilAvailable(double Reserve, TimePoint Now) {
-    refill(Now);
-    double Missing = std::max(0.0, Reserve + 1 - Tokens);
+  Duration timeUntilAvailable(double Reserve, TimePoint Now) const {
+    double Missing = std::max(0.0, Reserve + 1 - tokensAt(Now));
     return Duration(static_cast<int64_t>(Missing / Rate * 1e6) + 1);
   }
 
 private:
-  void refill(TimePoint Now) {
+  double tokensAt(TimePoint Now) const {
     double Elapsed = std::chrono::duration<double>(Now - LastRefill).count();
-    Tokens = std::min(Burst, Tokens + std::max(0.0, Elapsed) * Rate);
+    return std::min(Burst, Tokens + std::max(0.0, Elapsed) * Rate);
+  }
+
+  void refill(TimePoint Now) {
+    Tokens = tokensAt(Now);
     LastRefill = Now;
   }
 
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -143,6 +143,15 @@
 void ForwardRequest::__set_configRevision(const int64_t val) {
   this->configRevision = val;
 }
+
+void ForwardRequest::__set_knownRateLimit(const double val) {
+  this->knownRateLimit = val;
+__isset.knownRateLimit = true;
+}
+
+void ForwardRequest::__set_knownLimitBorn(const int64_t val) {
+  this->knownLimitBorn = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -311,6 +320,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->knownRateLimit);
+          this->__isset.knownRateLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownLimitBorn);
+          this->__isset.knownLimitBorn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -400,6 +425,15 @@
   xfer += oprot->writeI64(this->configRevision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.knownRateLimit) {
+    xfer += oprot->writeFieldBegin("knownRateLimit", ::apache::thrift::protocol::T_DOUBLE, 17);
+    xfer += oprot->writeDouble(this->knownRateLimit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("knownLimitBorn", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->knownLimitBorn);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -423,6 +457,8 @@
   swap(a.nested, b.nested);
   swap(a.route, b.route);
   swap(a.configRevision, b.configRevision);
+  swap(a.knownRateLimit, b.knownRateLimit);
+  swap(a.knownLimitBorn, b.knownLimitBorn);
   swap(a.__isset, b.__isset);
 }
 
@@ -443,6 +479,8 @@
   nested = other6.nested;
   route = other6.route;
   configRevision = other6.configRevision;
+  knownRateLimit = other6.knownRateLimit;
+  knownLimitBorn = other6.knownLimitBorn;
   __isset = other6.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other7) noexcept {
@@ -462,6 +500,8 @@
   nested = other7.nested;
   route = std::move(other7.route);
   configRevision = other7.configRevision;
+  knownRateLimit = other7.knownRateLimit;
+  knownLimitBorn = other7.knownLimitBorn;
   __isset = other7.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other8) {
@@ -481,6 +521,8 @@
   nested = other8.nested;
   route = other8.route;
   configRevision = other8.configRevision;
+  knownRateLimit = other8.knownRateLimit;
+  knownLimitBorn = other8.knownLimitBorn;
   __isset = other8.__isset;
   return *this;
 }
@@ -501,6 +543,8 @@
   nested = other9.nested;
   route = std::move(other9.route);
   configRevision = other9.configRevision;
+  knownRateLimit = other9.knownRateLimit;
+  knownLimitBorn = other9.knownLimitBorn;
   __isset = other9.__isset;
   return *this;
 }
@@ -523,6 +567,8 @@
   out << ", " << "nested=" << to_string(nested);
   out << ", " << "route=" << to_string(route);
   out << ", " << "configRevision=" << to_string(configRevision);
+  out << ", " << "knownRateLimit="; (__isset.knownRateLimit ? (out << to_string(knownRateLimit)) : (out << "<null>"));
+  out << ", " << "knownLimitBorn=" << to_string(knownLimitBorn);
   out << ")";
 }
 
@@ -594,6 +640,11 @@
 void ForwardReply::__set_failurePermille(const int32_t val) {
   this->failurePermille = val;
 }
+
+void ForwardReply::__set_rateLimit(const double val) {
+  this->rateLimit = val;
+__isset.rateLimit = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardReply& obj)
 {
   obj.printTo(out);
@@ -764,6 +815,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rateLimit);
+          this->__isset.rateLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -853,6 +912,11 @@
   xfer += oprot->writeI32(this->failurePermille);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rateLimit) {
+    xfer += oprot->writeFieldBegin("rateLimit", ::apache::thrift::protocol::T_DOUBLE, 17);
+    xfer += oprot->writeDouble(this->rateLimit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -876,6 +940,7 @@
   swap(a.ranUs, b.ranUs);
   swap(a.expectedWaitUs, b.expectedWaitUs);
   swap(a.failurePermille, b.failurePermille);
+  swap(a.rateLimit, b.rateLimit);
   swap(a.__isset, b.__isset);
 }
 
@@ -896,6 +961,7 @@
   ranUs = other17.ranUs;
   expectedWaitUs = other17.expectedWaitUs;
   failurePermille = other17.failurePermille;
+  rateLimit = other17.rateLimit;
   __isset = other17.__isset;
 }
 ForwardReply::ForwardReply(ForwardReply&& other18) noexcept {
@@ -915,6 +981,7 @@
   ranUs = other18.ranUs;
   expectedWaitUs = other18.expectedWaitUs;
   failurePermille = other18.failurePermille;
+  rateLimit = other18.rateLimit;
   __isset = other18.__isset;
 }
 ForwardReply& ForwardReply::operator=(const ForwardReply& other19) {
@@ -934,6 +1001,7 @@
   ranUs = other19.ranUs;
   expectedWaitUs = other19.expectedWaitUs;
   failurePermille = other19.failurePermille;
+  rateLimit = other19.rateLimit;
   __isset = other19.__isset;
   return *this;
 }
@@ -954,6 +1022,7 @@
   ranUs = other20.ranUs;
   expectedWaitUs = other20.expectedWaitUs;
   failurePermille = other20.failurePermille;
+  rateLimit = other20.rateLimit;
   __isset = other20.__isset;
   return *this;
 }
@@ -976,6 +1045,7 @@
   out << ", " << "ranUs=" << to_string(ranUs);
   out << ", " << "expectedWaitUs=" << to_string(expectedWaitUs);
   out << ", " << "failurePermille=" << to_string(failurePermille);
+  out << ", " << "rateLimit="; (__isset.rateLimit ? (out << to_string(rateLimit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -73,7 +73,7 @@
 class RolloutAnnounce;
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false) {}
+  _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false), knownRateLimit(false), knownLimitBorn(false) {}
   bool id :1;
   bool instanceId :1;
   bool serviceName :1;
@@ -90,6 +90,8 @@
   bool nested :1;
   bool route :1;
   bool configRevision :1;
+  bool knownRateLimit :1;
+  bool knownLimitBorn :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -114,7 +116,9 @@
                    priority(0),
                    nested(0),
                    route(),
-                   configRevision(0) {
+                   configRevision(0),
+                   knownRateLimit(0),
+                   knownLimitBorn(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -134,6 +138,8 @@
   bool nested;
   std::string route;
   int64_t configRevision;
+  double knownRateLimit;
+  int64_t knownLimitBorn;
 
   _ForwardRequest__isset __isset;
 
@@ -169,6 +175,10 @@
 
   void __set_configRevision(const int64_t val);
 
+  void __set_knownRateLimit(const double val);
+
+  void __set_knownLimitBorn(const int64_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -203,6 +213,12 @@
       return false;
     if (!(configRevision == rhs.configRevision))
       return false;
+    if (__isset.knownRateLimit != rhs.__isset.knownRateLimit)
+      return false;
+    else if (__isset.knownRateLimit && !(knownRateLimit == rhs.knownRateLimit))
+      return false;
+    if (!(knownLimitBorn == rhs.knownLimitBorn))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -222,7 +238,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardReply__isset {
-  _ForwardReply__isset() : id(false), outcome(false), status(false), headers(false), body(false), reason(false), running(false), queued(false), limit(false), serviceTimeUs(false), configRevision(false), arrived(false), waitedUs(false), ranUs(false), expectedWaitUs(false), failurePermille(false) {}
+  _ForwardReply__isset() : id(false), outcome(false), status(false), headers(false), body(false), reason(false), running(false), queued(false), limit(false), serviceTimeUs(false), configRevision(false), arrived(false), waitedUs(false), ranUs(false), expectedWaitUs(false), failurePermille(false), rateLimit(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -239,6 +255,7 @@
   bool ranUs :1;
   bool expectedWaitUs :1;
   bool failurePermille :1;
+  bool rateLimit :1;
 } _ForwardReply__isset;
 
 class ForwardReply : public virtual ::apache::thrift::TBase {
@@ -263,7 +280,8 @@
                  waitedUs(0),
                  ranUs(0),
                  expectedWaitUs(0),
-                 failurePermille(0) {
+                 failurePermille(0),
+                 rateLimit(0) {
   }
 
   virtual ~ForwardReply() noexcept;
@@ -287,6 +305,7 @@
   int64_t ranUs;
   int64_t expectedWaitUs;
   int32_t failurePermille;
+  double rateLimit;
 
   _ForwardReply__isset __isset;
 
@@ -322,6 +341,8 @@
 
   void __set_failurePermille(const int32_t val);
 
+  void __set_rateLimit(const double val);
+
   bool operator == (const ForwardReply & rhs) const
   {
     if (!(id == rhs.id))
@@ -356,6 +377,10 @@
       return false;
     if (!(failurePermille == rhs.failurePermille))
       return false;
+    if (__isset.rateLimit != rhs.__isset.rateLimit)
+      return false;
+    else if (__isset.rateLimit && !(rateLimit == rhs.rateLimit))
+      return false;
     return true;
   }
   bool operator != (const ForwardReply &rhs) const {
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -26,6 +26,11 @@
   15: string route
   // Revision of the configuration that the sender used for routing.
   16: i64 configRevision
+  // The rate limit of the backend server that the sender was last told, requests
+  // per second; for a receiver that was restarted meanwhile.
+  17: optional double knownRateLimit
+  // Start of the incarnation that named it, Unix milliseconds.
+  18: i64 knownLimitBorn
 }
 
 enum ForwardOutcome {
@@ -59,6 +64,9 @@
   15: i64 expectedWaitUs
   // Share of failures among the backend server's latest outcomes.
   16: i32 failurePermille
+  // Requests per second that the backend server takes from all hosts together,
+  // if it has named a limit.
+  17: optional double rateLimit
 }
 
 struct ForwardCancel {
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -26,7 +26,8 @@
   bool LoseResponse = false;
   bool RefuseConnections = false;
   bool Healthy = true;
-  std::string Body = {}; // Of successful responses; a short text if empty.
+  std::string Body = {};      // Of successful responses; a short text if empty.
+  std::string RateLimit = {}; // Named in all responses; none if empty.
 };
 
 // State of all simulated backend servers. Each daemon has one, on port 8000 of
@@ -36,8 +37,9 @@
   explicit FakeServers(VirtualTime &Time) : Time(Time) {}
 
   std::map<std::string, Behaviour> ByHost;
-  std::map<std::string, int> Runs;      // By attempt id.
-  std::map<std::string, int> Arrivals;  // By host.
+  std::map<std::string, int> Runs;                            // By attempt id.
+  std::map<std::string, int> Arrivals;                        // By host.
+  std::map<std::string, std::vector<TimePoint>> ArrivalTimes; // By host.
   std::map<std::string, int> Cancelled; // Cancelled runs, by host.
   std::vector<HttpRequest> ReceivedRequests;
   int HealthChecks = 0;
@@ -91,6 +93,9 @@
       if (Handling.Signed)
         Response.Headers.push_back({"Cyclamenwind-Response-Signature", "sig"});
     }
+    if (!Handling.RateLimit.empty())
+      Response.Headers.push_back({"Server-Limit", Handling.RateLimit});
+    Servers.ArrivalTimes[To.Host].push_back(Servers.Time.now());
     Result<HttpResponse, HttpClientError> Outcome = Response;
     if (Handling.RefuseConnections)
       Outcome = HttpClientError{HttpClientErrorCode::ConnectFailed, false};
