A server that says in its answers that it leaves gets no more requests

Change: the daemon beside the server refuses at once and treats it as a report that the server drains: it is announced, written to the platform, and lasts over a restart as other records do; a later 'ready' of the same incarnation does not bring it back. Replies say it too, for senders that lose the announcement.

--- a/cyclamenwind/mesh/header_codec.h
+++ b/cyclamenwind/mesh/header_codec.h
@@ -41,6 +41,7 @@
   // Requests per second that the server takes from all hosts together, if it
   // names a limit; not negative.
   std::optional<double> RateLimit;
+  bool Leaving = false; // The server will stop soon.
 };
 
 class HeaderCodec {
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -108,7 +108,7 @@
   Server &Changed = Position->second;
   if (!IsNew && Changed.Record.StartedAtMs != Record.StartedAtMs) {
     Changed.Failures = {};
-    Changed.HasResponded = false;
+    Changed.HasResponded = Changed.SaysLeaving = false;
     Changed.Queue.limitRate(std::nullopt, Time->now());
   }
   Changed.Record = Record;
@@ -145,7 +145,7 @@
     if (Outcome)
       Metadata = Codec.responseMetadata(Outcome.value());
     // That a health check names no limit does not end one.
-    if (Local != LocalServers.end() && (Metadata.RateLimit))
+    if (Local != LocalServers.end() && (Metadata.RateLimit || Metadata.Leaving))
       applyStatements(Local->second, Metadata, Time->now());
     bool IsHealthy = Outcome && Outcome.value().Status == Healthy &&
                      Metadata.InstanceId == Id;
@@ -176,7 +176,7 @@
     return ForwardError::Stopping;
   if (Target == nullptr || Target->TimedOut)
     return ForwardError::NoServer;
-  if (Target->Record.State != EndpointState::Ready)
+  if (Target->Record.State != EndpointState::Ready || Target->SaysLeaving)
     return ForwardError::Leaving;
   if (Now < Target->ConnectBackoffUntil)
     return ForwardError::ConnectFailed;
@@ -247,6 +247,14 @@
                                   {"per_s", Metadata.RateLimit.value_or(0)}});
   From.HasResponded = true;
   From.Queue.limitRate(Metadata.RateLimit, Now);
+  if (!Metadata.Leaving || From.SaysLeaving)
+    return;
+  From.SaysLeaving = true;
+  logInfo("server_says_leaving", {{"server", From.Record.Id}});
+  Timers->defer([this, Id = From.Record.Id] {
+    if (OnServerLeaving)
+      OnServerLeaving(Id);
+  });
 }
 
 // Whether the response to Message would miss its objective because it waits for
@@ -416,6 +424,7 @@
       static_cast<int32_t>(From->Failures.value() * PermilleScale);
   if (std::optional<double> Limit = From->Queue.rateLimit())
     Reply.__set_rateLimit(*Limit);
+  Reply.leaving = From->SaysLeaving;
 }
 
 void InboundProxy::finish(RequestHandle Handle, wire::ForwardReply Reply) {
--- a/cyclamenwind/mesh/inbound_proxy.h
+++ b/cyclamenwind/mesh/inbound_proxy.h
@@ -8,9 +8,9 @@
 // a refusal is sent before any byte goes to the server, which guarantees that
 // the request did not run.
 //
-// A server states its rate limit in its responses. The senders hear of it with
-// each reply and pass it on with each request, so that a restarted daemon knows
-// it before the server's first response.
+// A server states its rate limit, and that it is leaving, in its responses. The
+// senders hear of both with each reply and pass the limit on with each request,
+// so that a restarted daemon knows it before the server's first response.
 //
 // Requests come from the outbound proxies of peers and of this daemon. When the
 // sender cancels a request, the inbound proxy closes the connection on which
@@ -114,6 +114,9 @@
   std::function<Duration(size_t Bytes)> TransferWait;
   // Returns the revision of the configuration applied on this daemon.
   std::function<int64_t()> ConfigRevision;
+  // Called, never from within another call to this class, when the server Id
+  // has stated in a response that it is leaving.
+  std::function<void(const std::string &Id)> OnServerLeaving;
   // Called with the revision of the configuration that a peer routed with.
   std::function<void(const Address &Peer, int64_t Revision)> OnPeerRevision;
 
@@ -126,6 +129,7 @@
     bool TimedOut = false; // See serverTimedOut().
     // What the responses of this incarnation said.
     bool HasResponded = false;
+    bool SaysLeaving = false;
   };
   struct Request {
     wire::ForwardRequest Message;
--- a/cyclamenwind/mesh/local_server_registry.cpp
+++ b/cyclamenwind/mesh/local_server_registry.cpp
@@ -181,6 +181,16 @@
   updateServer(Record, std::move(Acknowledge));
 }
 
+void LocalServerRegistry::serverSaysLeaving(const std::string &Id) {
+  auto Found = Servers.find(Id);
+  if (Found == Servers.end() ||
+      Found->second.Record.State > EndpointState::Unreachable)
+    return;
+  MeshEndpoint Record = Found->second.Record;
+  Record.State = EndpointState::Draining;
+  updateServer(Record, [] {});
+}
+
 void LocalServerRegistry::updateServer(const MeshEndpoint &Record,
                                        std::function<void()> Acknowledge) {
   ServerEntry &Entry = Servers[Record.Id];
--- a/cyclamenwind/mesh/local_server_registry.h
+++ b/cyclamenwind/mesh/local_server_registry.h
@@ -2,15 +2,15 @@
 //
 // A report is accepted if it is of the latest incarnation at its address and
 // newer than the known record of that incarnation; a delayed report changes
-// nothing. A server leaves by reporting that it is draining or by
-// deregistering. Its record is written to the platform before that message is
-// acknowledged: otherwise a daemon that is killed right after the
-// acknowledgement and restarts would treat the server as ready when a delayed
-// report arrives. If the platform does not answer within AckTimeout, the
-// message is acknowledged all the same, since this daemon sends the server no
-// further requests. A restarted process waits for the records of the platform
-// or of its peers, at most RecordsWaitLimit, before it treats a server as
-// ready. It checks the health of the local servers in those records at once;
+// nothing. A server leaves by reporting that it is draining, by deregistering,
+// or by saying so in its responses. Its record is written to the platform
+// before that message is acknowledged: otherwise a daemon that is killed right
+// after the acknowledgement and restarts would treat the server as ready when a
+// delayed report arrives. If the platform does not answer within AckTimeout,
+// the message is acknowledged all the same, since this daemon sends the server
+// no further requests. A restarted process waits for the records of the
+// platform or of its peers, at most RecordsWaitLimit, before it treats a server
+// as ready. It checks the health of the local servers in those records at once;
 // one that is healthy becomes ready without waiting for its next report.
 
 #ifndef CYCLAMENWIND_MESH_LOCAL_SERVER_REGISTRY_H
@@ -67,6 +67,10 @@
   void leave(const std::string &Id, int64_t StartedAtMs,
              std::function<void()> Acknowledge);
 
+  // The server Id has stated in a response that it is leaving, before or
+  // without reporting it.
+  void serverSaysLeaving(const std::string &Id);
+
   // Tells peers that this daemon stops, so that they choose other servers.
   void announceStopping();
 
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -155,6 +155,9 @@
   Inbound.ConfigRevision = [&State] {
     return static_cast<int64_t>(State.configRevision());
   };
+  Inbound.OnServerLeaving = [&Registry](const std::string &Id) {
+    Registry.serverSaysLeaving(Id);
+  };
   Inbound.OnPeerRevision = [&State](const Address &Peer, int64_t Revision) {
     State.reportPeerRevision(Peer, static_cast<uint64_t>(Revision));
   };
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -264,10 +264,22 @@
   Attempts.erase(Found);
   Balancer->requestEnded(Ended.EndpointId);
   updateBalancer(Ended, Reply, Time->now());
+  if (Reply.leaving)
+    markLeaving(Ended.EndpointId);
   Calls.at(Ended.CallId).Attempts.erase(Number);
   retryOrFinish(Ended.CallId, std::move(Reply));
 }
 
+// The announcement of the server's daemon may be delayed or lost.
+void OutboundProxy::markLeaving(const std::string &EndpointId) {
+  const MeshEndpoint *Known = State->directory().find(EndpointId);
+  if (Known == nullptr || Known->State > EndpointState::Unreachable)
+    return;
+  MeshEndpoint Record = *Known;
+  Record.State = EndpointState::Draining;
+  State->merge(Record);
+}
+
 void OutboundProxy::updateBalancer(const Attempt &TheAttempt,
                                    const wire::ForwardReply &Reply,
                                    TimePoint Now) {
--- a/cyclamenwind/mesh/outbound_proxy.h
+++ b/cyclamenwind/mesh/outbound_proxy.h
@@ -92,6 +92,7 @@
                                           TimePoint Now) const;
   void receiveReply(const Address &From, std::string_view Payload);
   void onAttemptEnded(uint64_t Number, wire::ForwardReply Reply);
+  void markLeaving(const std::string &EndpointId);
   void updateBalancer(const Attempt &TheAttempt,
                       const wire::ForwardReply &Reply, TimePoint Now);
   bool mayRetry(const Call &TheCall, bool ReachedServer, bool Executed,
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -645,6 +645,10 @@
   this->rateLimit = val;
 __isset.rateLimit = true;
 }
+
+void ForwardReply::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardReply& obj)
 {
   obj.printTo(out);
@@ -823,6 +827,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -917,6 +929,10 @@
     xfer += oprot->writeDouble(this->rateLimit);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -941,6 +957,7 @@
   swap(a.expectedWaitUs, b.expectedWaitUs);
   swap(a.failurePermille, b.failurePermille);
   swap(a.rateLimit, b.rateLimit);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -962,6 +979,7 @@
   expectedWaitUs = other17.expectedWaitUs;
   failurePermille = other17.failurePermille;
   rateLimit = other17.rateLimit;
+  leaving = other17.leaving;
   __isset = other17.__isset;
 }
 ForwardReply::ForwardReply(ForwardReply&& other18) noexcept {
@@ -982,6 +1000,7 @@
   expectedWaitUs = other18.expectedWaitUs;
   failurePermille = other18.failurePermille;
   rateLimit = other18.rateLimit;
+  leaving = other18.leaving;
   __isset = other18.__isset;
 }
 ForwardReply& ForwardReply::operator=(const ForwardReply& other19) {
@@ -1002,6 +1021,7 @@
   expectedWaitUs = other19.expectedWaitUs;
   failurePermille = other19.failurePermille;
   rateLimit = other19.rateLimit;
+  leaving = other19.leaving;
   __isset = other19.__isset;
   return *this;
 }
@@ -1023,6 +1043,7 @@
   expectedWaitUs = other20.expectedWaitUs;
   failurePermille = other20.failurePermille;
   rateLimit = other20.rateLimit;
+  leaving = other20.leaving;
   __isset = other20.__isset;
   return *this;
 }
@@ -1046,6 +1067,7 @@
   out << ", " << "expectedWaitUs=" << to_string(expectedWaitUs);
   out << ", " << "failurePermille=" << to_string(failurePermille);
   out << ", " << "rateLimit="; (__isset.rateLimit ? (out << to_string(rateLimit)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -238,7 +238,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardReply__isset {
-  _ForwardReply__isset() : id(false), outcome(false), status(false), headers(false), body(false), reason(false), running(false), queued(false), limit(false), serviceTimeUs(false), configRevision(false), arrived(false), waitedUs(false), ranUs(false), expectedWaitUs(false), failurePermille(false), rateLimit(false) {}
+  _ForwardReply__isset() : id(false), outcome(false), status(false), headers(false), body(false), reason(false), running(false), queued(false), limit(false), serviceTimeUs(false), configRevision(false), arrived(false), waitedUs(false), ranUs(false), expectedWaitUs(false), failurePermille(false), rateLimit(false), leaving(false) {}
   bool id :1;
   bool outcome :1;
   bool status :1;
@@ -256,6 +256,7 @@
   bool expectedWaitUs :1;
   bool failurePermille :1;
   bool rateLimit :1;
+  bool leaving :1;
 } _ForwardReply__isset;
 
 class ForwardReply : public virtual ::apache::thrift::TBase {
@@ -281,7 +282,8 @@
                  ranUs(0),
                  expectedWaitUs(0),
                  failurePermille(0),
-                 rateLimit(0) {
+                 rateLimit(0),
+                 leaving(0) {
   }
 
   virtual ~ForwardReply() noexcept;
@@ -306,6 +308,7 @@
   int64_t expectedWaitUs;
   int32_t failurePermille;
   double rateLimit;
+  bool leaving;
 
   _ForwardReply__isset __isset;
 
@@ -343,6 +346,8 @@
 
   void __set_rateLimit(const double val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const ForwardReply & rhs) const
   {
     if (!(id == rhs.id))
@@ -381,6 +386,8 @@
       return false;
     else if (__isset.rateLimit && !(rateLimit == rhs.rateLimit))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const ForwardReply &rhs) const {
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -67,6 +67,8 @@
   // Requests per second that the backend server takes from all hosts together,
   // if it has named a limit.
   17: optional double rateLimit
+  // Whether the backend server has stated that it is leaving.
+  18: bool leaving
 }
 
 struct ForwardCancel {
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -28,6 +28,7 @@
   bool Healthy = true;
   std::string Body = {};      // Of successful responses; a short text if empty.
   std::string RateLimit = {}; // Named in all responses; none if empty.
+  bool SaysLeaving = false;
 };
 
 // State of all simulated backend servers. Each daemon has one, on port 8000 of
@@ -95,6 +96,8 @@
     }
     if (!Handling.RateLimit.empty())
       Response.Headers.push_back({"Server-Limit", Handling.RateLimit});
+    if (Handling.SaysLeaving)
+      Response.Headers.push_back({"Server-Leaving", "1"});
     Servers.ArrivalTimes[To.Host].push_back(Servers.Time.now());
     Result<HttpResponse, HttpClientError> Outcome = Response;
     if (Handling.RefuseConnections)
--- a/tests/mesh_rate_limit_test.cpp
+++ b/tests/mesh_rate_limit_test.cpp
@@ -1,5 +1,6 @@
-// Rate limits that backend servers name: the admission queue alone, and
-// requests through several daemons in virtual time.
+// Rate limits that backend servers name, and servers that say that they leave:
+// the admission queue alone, and requests through several daemons in virtual
+// time.
 
 #include "testing/mesh_world.h"
 
@@ -171,6 +172,41 @@
   CHECK(World.Servers.Arrivals["10.0.0.1"] == 3);
 }
 
+// Guards against requests to a server that says in its answers that it leaves,
+// although its report is late or the announcements are lost.
+TEST_CASE("a server that says that it leaves gets no more requests from any "
+          "daemon") {
+  MeshWorld World(3);
+  bool AnnouncementsLost = GENERATE(false, true);
+  World.Servers.ByHost["10.0.0.2"].SaysLeaving = true;
+  if (AnnouncementsLost)
+    for (MeshWorld::Daemon &Each : World.Daemons)
+      Each.Peers->handle(FrameType::EndpointAnnounce,
+                         [](const Address &, std::string_view) {});
+  World.Daemons[1].Inbound->OnServerLeaving =
+      [Registry = World.Daemons[1].Registry](const std::string &Id) {
+        Registry->serverSaysLeaving(Id);
+      };
+  for (int I = 0; I < 30; ++I) {
+    World.request("/read/1", static_cast<size_t>(I % 3));
+    World.Time.advance(50ms);
+  }
+  int Before = World.Servers.Arrivals["10.0.0.2"];
+  CHECK(Before >= 1);
+  CHECK(Before <= 3);
+  // A report that was sent earlier does not bring it back.
+  World.report(1, 5);
+  for (int I = 0; I < 30; ++I) {
+    auto Received = World.request("/submit/1", static_cast<size_t>(I % 3));
+    World.Time.advance(50ms);
+    REQUIRE(Received->Answer);
+    CHECK(Received->Answer->Status == 200);
+  }
+  CHECK(World.Servers.Arrivals["10.0.0.2"] == Before);
+  CHECK(World.Daemons[1].State->directory().find("i-2")->State ==
+        EndpointState::Draining);
+}
+
 TEST_CASE(
     "limits that are no numbers, negative or out of range are no limits") {
   platform::PlatformHeaderCodec Codec;
