A refusal without an id on a kept connection is not taken for the next request's

Reported by other operators: a faulty server writes an earlier refusal once more; callers are told 'not run' for a request that the server runs (REFUSED), or it runs at a second server (TWICE). Possible here where the copy has no attempt id: only signed responses without an id were skipped on a reused connection. Change: responses that guarantee 'not run' are skipped there too; the request waits for its own response. The matcher has a file of its own, to be tested. Test: mesh_response_matcher_test, at every split; failed before.

--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -8,6 +8,7 @@
 #include "cyclamenwind/mesh/mesh_state.h"
 #include "cyclamenwind/mesh/outbound_proxy.h"
 #include "cyclamenwind/mesh/peer_sync.h"
+#include "cyclamenwind/mesh/response_matcher.h"
 #include "cyclamenwind/mesh/rollout_controller.h"
 #include "cyclamenwind/operators/metrics.h"
 #include "cyclamenwind/peer/tcp_transport.h"
@@ -69,21 +70,6 @@
   return Timings;
 }
 
-// A response belongs to the request whose attempt id it echoes. Without an id,
-// a signed response on a connection that has carried another request may be a
-// second copy of the response to that one.
-ResponseMatcher responseMatcher(const HeaderCodec &Codec) {
-  return [&Codec](const HttpRequest &Request, const HttpResponse &Response,
-                  bool Reused) {
-    ResponseMetadata Metadata = Codec.responseMetadata(Response);
-    const std::string &AnsweredId = Metadata.AttemptId;
-    if (AnsweredId.empty())
-      return !Reused || !Metadata.Signed;
-    HttpHeaders Headers = Request.Headers;
-    return Codec.extractCallerMetadata(Headers).AttemptId == AnsweredId;
-  };
-}
-
 size_t maxBodyBytes(const HostSettings &Settings) {
   return Settings.MemoryBytes == 0 ? DefaultBodyBytes
                                    : Settings.MemoryBytes / BodyMemoryDivisor;
