Test: responses that end in the head or the body are errors at every byte

Reported by other operators: a server that stops in its answer's head; callers got a 200 with an empty body.

--- a/tests/http_pooled_client_test.cpp
+++ b/tests/http_pooled_client_test.cpp
@@ -112,6 +112,25 @@
   CHECK(Setup.request("1").value().Body == "all of it");
 }
 
+// Guards against a 200 with an empty or short body that looks whole.
+TEST_CASE("a response that ends in its head or its body is an error, wherever "
+          "the server stops") {
+  std::string Whole = GENERATE(
+      response("1", "body"),
+      std::string("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked"
+                  "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + response("1", "body"),
+      // Complete when the server closes, so only its head is cut.
+      std::string("HTTP/1.1 200 OK\r\nId: 1\r\nOther: x\r\n\r\n"));
+  Fixture Setup(18212);
+  for (size_t Length = 0; Length < Whole.size(); ++Length) {
+    INFO("cut after " << Length << " bytes");
+    Setup.Responses = {Whole.substr(0, Length) + "<close>"};
+    Setup.NextResponse = 0;
+    CHECK_FALSE(Setup.request("1"));
+  }
+}
+
 TEST_CASE("interim responses are skipped; garbage is an error") {
   Fixture Setup(18206);
   Setup.Responses = {"HTTP/1.1 103 Early Hints\r\n\r\n" + response("1", "a"),
