Test: a planned stop under load, requests that run are answered until the process is gone

Reported by other operators: requests that came late in the grace time were taken, passed on and cut.

--- a/tests/mesh_daemon_test.cpp
+++ b/tests/mesh_daemon_test.cpp
@@ -27,6 +27,9 @@
    "priority": 1, "maxAttempts": 2, "service": "films"},
   {"name": "small", "host": "h.example", "pathPrefix": "/small/",
    "kind": "safe", "timeoutMs": 3000, "targetLatencyMs": 1000,
+   "priority": 1, "maxAttempts": 2, "service": "films"},
+  {"name": "submit", "host": "h.example", "pathPrefix": "/submit/",
+   "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 1000,
    "priority": 1, "maxAttempts": 2, "service": "films"}],
   "services": [{"name": "films", "healthPath": "/health"}],
   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
@@ -133,10 +136,19 @@
         Id == std::string::npos
             ? ""
             : Head.substr(Id, Head.find("\r\n", Id) - Id) + "\r\n";
-    Stream.write("HTTP/1.1 200 OK\r\n" + Echo +
-                 "Cyclamenwind-Response-Signature: s\r\n"
-                 "Cyclamenwind-Instance-Id: i-1\r\nContent-Length: " +
-                 std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    std::string Response = "HTTP/1.1 200 OK\r\n" + Echo +
+                           "Cyclamenwind-Response-Signature: s\r\n"
+                           "Cyclamenwind-Instance-Id: i-1\r\nContent-Length: " +
+                           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    size_t Submit = Head.find("/submit/");
+    if (Submit == std::string::npos) {
+      Stream.write(Response);
+      return;
+    }
+    size_t Name = Submit + std::string_view("/submit/").size();
+    ++Runs[Head.substr(Name, Head.find(' ', Name) - Name)];
+    Delayed.push_back(TheLoop.after(
+        SubmitWork, [&Stream, Response] { Stream.write(Response); }));
   }
 
   static std::string film(size_t Bytes) {
@@ -200,6 +212,9 @@
   std::vector<std::unique_ptr<HttpCall>> Reports;
   TimerHandle ReportTimer;
   int Sent = 0;
+  std::map<std::string, int> Runs; // Of /submit/ requests, by name.
+  std::vector<TimerHandle> Delayed;
+  static constexpr Duration SubmitWork = 400ms;
 };
 
 } // namespace
@@ -248,3 +263,59 @@
   CHECK(runUntil(TheWorld.TheLoop,
                  [&] { return Slow.Received.ends_with(World::film(540000)); }));
 }
+
+// Guards against requests that a stopping daemon takes late, passes on and then
+// cuts: their callers cannot know whether they ran.
+TEST_CASE("planned stop under load: each request that ran is answered, on kept "
+          "connections and on new ones, until the process is gone") {
+  World TheWorld;
+  bool StopsServerSide = GENERATE(false, true);
+  HostSettings Settings = settingsOf(StopsServerSide ? 8100 : 8200);
+  Settings.StopLimit = 6s;
+  DaemonProcess Other(settingsOf(StopsServerSide ? 8200 : 8100));
+  DaemonProcess Stopping(Settings, 4s);
+  TimePoint Start = TheWorld.TheLoop.now();
+  TheWorld.awaitServing();
+  // Each stream sends its next request when it has the answer; one that was
+  // closed is replaced, as long as there is a process that accepts it.
+  struct Caller {
+    std::unique_ptr<RawStream> Stream;
+    std::string Name;
+  };
+  std::vector<Caller> Callers(6);
+  std::map<std::string, std::string> Answers; // Received bytes, by request.
+  int Next = 0;
+  auto Step = [&](Caller &Each) {
+    bool Answered = Each.Stream && Each.Stream->Received.ends_with("small");
+    if (Each.Stream && (Answered || Each.Stream->Ended))
+      Answers[Each.Name] = Each.Stream->Received;
+    if (Each.Stream && !Answered && !Each.Stream->Ended)
+      return;
+    if (!Each.Stream || Each.Stream->Ended || ++Next % 5 == 0)
+      Each.Stream =
+          std::make_unique<RawStream>(TheWorld.TheLoop, loopbackAddress(8200));
+    Each.Stream->Received.clear();
+    Each.Name = "r" + std::to_string(++Next);
+    Each.Stream->write("GET /submit/" + Each.Name +
+                       " HTTP/1.1\r\nHost: h.example\r\n"
+                       "Cyclamenwind-Attempt-Id: " +
+                       Each.Name +
+                       "\r\nCyclamenwind-Deadline-Ms: 3000\r\n\r\n");
+  };
+  while (!Stopping.Ended && TheWorld.TheLoop.now() - Start < 12s) {
+    for (Caller &Each : Callers)
+      Step(Each);
+    runFor(TheWorld.TheLoop, 10ms);
+  }
+  CHECK(Stopping.Ended);
+  runFor(TheWorld.TheLoop, 1s);
+  for (Caller &Each : Callers)
+    if (Each.Stream)
+      Answers[Each.Name] = Each.Stream->Received;
+  REQUIRE(TheWorld.Runs.size() > 20);
+  for (const auto &[Name, Count] : TheWorld.Runs) {
+    INFO(Name << ": " << Answers[Name]);
+    CHECK(Count == 1);
+    CHECK(Answers[Name].starts_with("HTTP/1.1 200"));
+  }
+}
