--- a/testing/fake_platform.cpp
+++ b/testing/fake_platform.cpp
@@ -20,6 +20,13 @@
     Pending.Unanswered = true;
 }
 
+void FakePlatformClient::setSilent(bool Value) {
+  Silent = Value;
+  for (FakePlatform::Watch &Pending : Shared.Watches)
+    if (Pending.Client == this)
+      Pending.Unanswered = true;
+}
+
 void FakePlatform::wake() {
   for (auto Position = Watches.begin(); Position != Watches.end();) {
     Result<WatchBatch, PlatformError> Batch =
@@ -43,6 +50,12 @@
                    [Id](const Watch &Pending) { return Pending.Id == Id; });
   if (Found == Watches.end())
     return;
+  if (Found->Unanswered && !Found->Overdue) {
+    Found->Overdue = true;
+    PendingTimers[Id] =
+        Timers.after(CallTimeout, [this, Id] { expireWatch(Id); });
+    return;
+  }
   PlatformCallback<WatchBatch> OnDone = Found->OnDone;
   if (Found->Unanswered) {
     Watches.erase(Found);
@@ -67,7 +80,7 @@
     });
     return;
   }
-  if (Shared.Silent) {
+  if (unanswered()) {
     uint64_t Id = Shared.NextTimerId++;
     Shared.PendingTimers[Id] = Shared.Timers.after(
         Shared.CallTimeout, [Platform = &Shared, Id, OnDone = std::move(OnDone),
@@ -186,11 +199,10 @@
     return;
   }
   uint64_t Id = Shared.NextTimerId++;
-  Shared.Watches.push_back(
-      {Id, Prefix, Revision, Guarded, Stale, Shared.Silent});
+  Shared.Watches.push_back({Id, Prefix, Revision, Guarded, Stale, unanswered(),
+                            this, /*Overdue=*/false});
   Shared.PendingTimers[Id] = Shared.Timers.after(
-      Shared.Silent ? Wait + Shared.CallTimeout : Wait,
-      [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
+      Wait, [Id, Platform = &this->Shared] { Platform->expireWatch(Id); });
   Shared.wake();
 }
 
--- a/testing/fake_platform.h
+++ b/testing/fake_platform.h
@@ -57,6 +57,8 @@
     PlatformCallback<WatchBatch> OnDone;
     bool Stale = false;
     bool Unanswered = false; // Never answered; ends with NoAnswer.
+    const void *Client = nullptr;
+    bool Overdue = false; // Its wait has passed without an answer.
   };
 
   void expireWatch(uint64_t Id);
@@ -101,6 +103,9 @@
   // Makes the platform unreachable for this client only.
   bool CutOff = false;
 
+  // The same as FakePlatform::setSilent() for this client only.
+  void setSilent(bool Value);
+
 private:
   template <typename T>
   void answer(PlatformCallback<T> OnDone,
@@ -109,8 +114,10 @@
   void addWatch(const std::string &Prefix, uint64_t Revision, bool Stale,
                 Duration Wait, PlatformCallback<WatchBatch> OnDone);
   bool reachable() const { return !CutOff && !Shared.Outage; }
+  bool unanswered() const { return Silent || Shared.Silent; }
 
   FakePlatform &Shared;
+  bool Silent = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -626,6 +626,30 @@
     CHECK(Each->State->routes()->config().Version == 2);
 }
 
+// Guards against 404 on a new route at daemons that the platform serves, while
+// it does not answer the daemons that watch the configuration for all others.
+TEST_CASE(
+    "the platform does not answer most daemons, watchers first: those that "
+    "it serves apply a change within two seconds",
+    "[!shouldfail]") {
+  StoreWorld World;
+  auto Fleet = World.firstStart(36);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(20s);
+  size_t FirstServed = GENERATE(4, 20, 34); // In the order of addresses.
+  for (size_t I = 0; I < FirstServed; ++I)
+    Fleet[I]->Client->setSilent(true);
+  World.operatorWrites("config/main", configText(2));
+  World.Time.advance(2s);
+  for (size_t I = FirstServed; I < Fleet.size(); ++I)
+    CHECK(Fleet[I]->State->routes()->config().Version == 2);
+  World.operatorWrites("config/main", configText(3));
+  World.Time.advance(2s);
+  // The others receive the patches of those that are served.
+  for (const auto &Each : Fleet)
+    CHECK(Each->State->routes()->config().Version == 3);
+}
+
 TEST_CASE("all configuration watchers end at once: changes are still applied "
           "within two seconds") {
   StoreWorld World;
