What another server at a server's address says is not taken as its statement

Found by reading: after an address was given to another server, the answer with status 421, or a health check answered by it, set the limit or the leaving of the server that was there before. Test: mesh_rate_limit_test 'what another server at the address says'. Comments of ConfigRelay and AdmissionQueue corrected.

--- a/cyclamenwind/mesh/admission_queue.h
+++ b/cyclamenwind/mesh/admission_queue.h
@@ -72,7 +72,7 @@
   QueueActions expire(TimePoint Now);
 
   // Starts waiting requests for which the rate limit has room by now. Has to be
-  // called every few milliseconds while requests wait.
+  // called often while requests wait, since no other event does.
   QueueActions startDue(TimePoint Now);
 
   // Sets or removes the rate limit, in requests per second, of at least
--- a/cyclamenwind/mesh/config_relay.h
+++ b/cyclamenwind/mesh/config_relay.h
@@ -14,10 +14,10 @@
 // so a relay announces its revision again to the peer of a lost stream.
 //
 // A watcher or relay that cannot reach the platform says so at once and is
-// replaced. The platform may turn it away and
-// serve others: every daemon that hears of it, and of no watcher or relay that
-// is up to date, calls the platform itself. Those that fail retry slowly, since
-// in an outage all of them would call.
+// replaced. The platform may turn it away and serve others: every daemon that
+// hears of it, and of no watcher or relay that is up to date, calls the
+// platform itself. Those that fail retry slowly, since in an outage all of them
+// would call.
 
 #ifndef CYCLAMENWIND_MESH_CONFIG_RELAY_H
 #define CYCLAMENWIND_MESH_CONFIG_RELAY_H
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -20,6 +20,8 @@
 // A health check takes a few milliseconds unless all slots are in use.
 constexpr Duration HealthTimeout = 300ms;
 constexpr int FirstFailureStatus = 500;
+// Another server, which now uses the address, gave the response.
+constexpr int Misdirected = 421;
 constexpr double PermilleScale = 1000;
 // A response that waits no longer than this on the way out is not late because
 // of it.
@@ -53,7 +55,8 @@
 
 // Whether callers take Status as a guarantee that the request did not run.
 bool impliesNotRun(int Status) {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+  return Status == 408 || Status == Misdirected || Status == 429 ||
+         Status == 503;
 }
 
 } // namespace
@@ -145,7 +148,8 @@
     if (Outcome)
       Metadata = Codec.responseMetadata(Outcome.value());
     // That a health check names no limit does not end one.
-    if (Local != LocalServers.end() && (Metadata.RateLimit || Metadata.Leaving))
+    if (Local != LocalServers.end() && Metadata.InstanceId == Id &&
+        (Metadata.RateLimit || Metadata.Leaving))
       applyStatements(Local->second, Metadata, Time->now());
     bool IsHealthy = Outcome && Outcome.value().Status == Healthy &&
                      Metadata.InstanceId == Id;
@@ -330,7 +334,8 @@
   } else {
     HttpResponse &Response = Outcome.value();
     ResponseMetadata Metadata = Codec.responseMetadata(Response);
-    applyStatements(From, Metadata, Now);
+    if (Response.Status != Misdirected)
+      applyStatements(From, Metadata, Now);
     constexpr int FirstRedirect = 300;
     bool Success = Response.Status < FirstRedirect;
     if (Metadata.NotRun) {
--- a/tests/mesh_rate_limit_test.cpp
+++ b/tests/mesh_rate_limit_test.cpp
@@ -155,6 +155,24 @@
   CHECK(World.Servers.Arrivals["10.0.0.1"] == (Known ? 1 : 2));
 }
 
+TEST_CASE("what another server at the address says does not concern this one") {
+  MeshWorld World(1);
+  Behaviour &Handling = World.Servers.ByHost["10.0.0.1"];
+  Handling.Status = 421;
+  Handling.RateLimit = "0";
+  Handling.SaysLeaving = true;
+  World.request("/read/1");
+  World.Time.advance(100ms);
+  Handling = {};
+  int Before = World.Servers.Arrivals["10.0.0.1"];
+  REQUIRE(Before >= 1);
+  World.Time.advance(500ms);
+  for (int I = 0; I < 4; ++I)
+    World.request("/read/1");
+  World.Time.advance(100ms);
+  CHECK(World.Servers.Arrivals["10.0.0.1"] >= Before + 2);
+}
+
 TEST_CASE("an incarnation without a limit replaces one that named a limit") {
   MeshWorld World(1);
   World.Servers.ByHost["10.0.0.1"].RateLimit = "0";
