A request lost on a reused connection closes the connections that were idle as well

Change: after a timeout or a lost connection on a reused connection, those idle since before the request are closed. Test: http_pooled_client_test 'a request times out on an idle connection'.

--- a/cyclamenwind/http/pooled_client.cpp
+++ b/cyclamenwind/http/pooled_client.cpp
@@ -96,6 +96,7 @@
     ActiveConnection->ActiveCall = this;
     ActiveConnection->Parser.expectNoBody(Request.Method == "HEAD");
     Reused = ActiveConnection->Stream.sentAny();
+    StartedAt = Pool->TheLoop.now();
     ActiveConnection->Stream.write(serialize(Request, ActiveConnection->To));
     // On a reused connection the bytes are sent in this loop iteration, so the
     // request counts as sent.
@@ -171,8 +172,13 @@
 
   void fail(HttpClientErrorCode Code) {
     bool WasSent = sent();
-    if (ActiveConnection)
+    bool MayConcernOthers = Code == HttpClientErrorCode::TimedOut ||
+                            Code == HttpClientErrorCode::ConnectionLost;
+    if (ActiveConnection) {
+      if (Reused && MayConcernOthers)
+        Pool->closeIdleSince(ActiveConnection->To, StartedAt);
       Pool->destroyLater(std::move(ActiveConnection));
+    }
     finish(HttpClientError{Code, WasSent});
   }
 
@@ -198,6 +204,7 @@
   HttpCallback OnDone;
   std::unique_ptr<Connection> ActiveConnection;
   TimerHandle TimeoutTimer;
+  TimePoint StartedAt;
   size_t Buffered = 0; // Bytes of the response that were received.
   bool Reused = false;
   bool Sent = false;
@@ -288,6 +295,21 @@
   IdleConnections.erase(Found);
 }
 
+void PooledClient::closeIdleSince(const Address &To, TimePoint Start) {
+  auto Found = IdleConnections.find(To);
+  if (Found == IdleConnections.end())
+    return;
+  for (auto Position = Found->second.begin();
+       Position != Found->second.end();) {
+    if ((*Position)->IdleSince > Start) {
+      ++Position;
+      continue;
+    }
+    destroyLater(std::move(*Position));
+    Position = Found->second.erase(Position);
+  }
+}
+
 // Whether a response of which ResponseBytes were received has to fail, so that
 // servers which send without end do not use up the memory.
 bool PooledClient::mustGiveUp(size_t ResponseBytes) const {
--- a/cyclamenwind/http/pooled_client.h
+++ b/cyclamenwind/http/pooled_client.h
@@ -6,7 +6,10 @@
 // that violate the protocol: it skips a response to an earlier request, does
 // not reuse a connection on which surplus bytes arrive or whose response
 // arrives before the request is completely written, and accepts a response
-// without a length only if the server closes the connection with FIN.
+// without a length only if the server closes the connection with FIN. If a
+// request on a reused connection times out or the connection is lost, the
+// connections that were idle all the while are closed: what made one of them
+// fail, such as a middlebox that forgot it, may concern all.
 
 #ifndef CYCLAMENWIND_HTTP_POOLED_CLIENT_H
 #define CYCLAMENWIND_HTTP_POOLED_CLIENT_H
@@ -54,6 +57,9 @@
   // Closes idle connections to To.
   void closeIdle(const Address &To);
 
+  // Closes the connections to To that have been idle since Start.
+  void closeIdleSince(const Address &To, TimePoint Start);
+
   // Connections opened since construction.
   uint64_t opened() const { return Opened; }
 
--- a/tests/http_pooled_client_test.cpp
+++ b/tests/http_pooled_client_test.cpp
@@ -162,6 +162,29 @@
   CHECK(Setup.Client->opened() == 2);
 }
 
+// Guards against a request lost on each of several connections that a middlebox
+// forgot while they were idle.
+TEST_CASE(
+    "a request times out on an idle connection: the others that were idle "
+    "are not used after it") {
+  Fixture Setup(18213);
+  const std::string Plain = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  Setup.Responses = {Plain, Plain};
+  std::vector<std::unique_ptr<HttpCall>> Calls;
+  int Ended = 0;
+  for (const char *Id : {"1", "2"})
+    Calls.push_back(Setup.Client->send(Setup.Listen,
+                                       {"GET", "/", {{"Id", Id}}, ""}, 2s,
+                                       [&Ended](Outcome) { ++Ended; }));
+  REQUIRE(runUntil(Setup.TheLoop, [&] { return Ended == 2; }));
+  REQUIRE(Setup.Client->opened() == 2);
+  Outcome Lost = Setup.request("3", 100ms); // The server does not answer it.
+  REQUIRE_FALSE(Lost);
+  Setup.Responses.push_back(response("4", "d"));
+  CHECK(Setup.request("4").value().Body == "d");
+  CHECK(Setup.Client->opened() == 3);
+}
+
 TEST_CASE("a second copy of a response, late, is not the response to the next "
           "request, wherever it is split") {
   std::string Copy = GENERATE(response("1", "copy"),
