--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 
 GRACE_S = mesh.BOUNDS["graceS"]
 LOSS_SLACK_S = mesh.BOUNDS["lossSlackMs"] / 1000
-TIMEOUT_MS = 6000
+TIMEOUT_MS = 5500
 PER_SECOND = 36
 
 
@@ -21,7 +21,7 @@
     try:
         await world.start([mesh.route("r-history", "/puka111/", "wuno96b",
                                       "unsafe", timeout_ms=TIMEOUT_MS,
-                                      aim_ms=5500)])
+                                      aim_ms=5300)])
         world.servers[1].work_s = 0.5
         idle = []
         answers = []
@@ -29,16 +29,18 @@
         async def one():
             connection = idle.pop() if idle else mesh.Connection(record, near)
             answers.append(await connection.request("POST", "/puka111/2f", b"paid",
-                                                    deadline_ms=TIMEOUT_MS))
+                                                    deadline_ms=6000))
             if connection.writer:
                 idle.append(connection)
 
         tasks = []
 
         async def load(until):
-            while record.now() < until:
+            due = record.now()
+            while due < until:
                 tasks.append(asyncio.create_task(one()))
-                await asyncio.sleep(1 / PER_SECOND)
+                due += 1 / PER_SECOND
+                await asyncio.sleep(max(0, due - record.now()))
 
         await load(record.now() + 3)
         stopped = record.now()
