Text of others is checked where it is received, before it is written again

Cause: the record of a server is written as JSON, and the JSON library throws on text that is not UTF-8. Paths and Thrift strings hold any bytes, and nothing checked them. The same cause: deregistrations, each text field of peers' records, an address with a hidden zero byte, the author of a document (also one cut within a character), the path of explain, line breaks in the HTTP text of peers' messages, control characters in targets and log lines. Change: base/text.h and wire/http_text.h check such text where it comes in: a report, deregistration or record with it names no server, a peer's message is dropped as malformed, answers to operators and log lines are always text.

--- a/cyclamenwind/base/address.cpp
+++ b/cyclamenwind/base/address.cpp
@@ -26,6 +26,9 @@
       std::from_chars(Port.data(), Port.data() + Port.size(), Parsed.Port);
   if (Error != std::errc() || End != Port.data() + Port.size())
     return std::nullopt;
+  // inet_pton() reads up to the first zero byte only.
+  if (Parsed.Host.find('\0') != std::string::npos)
+    return std::nullopt;
   in_addr Number;
   if (Parsed.Port == 0 || inet_pton(AF_INET, Parsed.Host.c_str(), &Number) != 1)
     return std::nullopt;
--- a/cyclamenwind/base/log.cpp
+++ b/cyclamenwind/base/log.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/base/log.h"
 
 #include "cyclamenwind/base/bounded_appender.h"
+#include "cyclamenwind/base/text.h"
 
 #include <cstdio>
 
@@ -38,21 +39,31 @@
   return Instance;
 }
 
+void appendHex(std::string &Text, unsigned char C) {
+  static const char Digits[] = "0123456789abcdef";
+  Text += "\\x";
+  Text += Digits[C >> 4];
+  Text += Digits[C & 15];
+}
+
 // Quotes Value if it is empty or has characters that break key=value parsing.
-// Line breaks and tabs become spaces.
 std::string quoted(const std::string &Value) {
-  if (!Value.empty() &&
-      Value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
+  bool Readable = isUtf8(Value);
+  if (!Value.empty() && Readable && isHeaderValue(Value) &&
+      Value.find_first_of(" \"=\t\\") == std::string::npos)
     return Value;
   std::string Text = "\"";
   for (char C : Value) {
     if (C == '\n' || C == '\r' || C == '\t') {
       Text += ' ';
-      continue;
-    }
-    if (C == '"' || C == '\\')
+    } else if (C == '"' || C == '\\') {
       Text += '\\';
-    Text += C;
+      Text += C;
+    } else if (!isHeaderValue({&C, 1}) || (!Readable && (C & 0x80) != 0)) {
+      appendHex(Text, static_cast<unsigned char>(C));
+    } else {
+      Text += C;
+    }
   }
   return Text + '"';
 }
@@ -101,11 +112,7 @@
   return Bounded == nullptr ? 0 : Bounded->dropped();
 }
 
-void logEvent(LogLevel Level, std::string_view Event, LogFields Fields) {
-  initializer();
-  log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
-  if (!Logger.isEnabledFor(levelOf(Level)))
-    return;
+std::string formatEvent(std::string_view Event, LogFields Fields) {
   std::string Line = "event=";
   Line += Event;
   for (const LogField &Field : Fields) {
@@ -114,7 +121,14 @@
     Line += '=';
     Line += quoted(Field.Value);
   }
-  Logger.log(levelOf(Level), Line);
+  return Line;
+}
+
+void logEvent(LogLevel Level, std::string_view Event, LogFields Fields) {
+  initializer();
+  log4cplus::Logger Logger = log4cplus::Logger::getInstance(LoggerName);
+  if (Logger.isEnabledFor(levelOf(Level)))
+    Logger.log(levelOf(Level), formatEvent(Event, Fields));
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/base/log.h
+++ b/cyclamenwind/base/log.h
@@ -48,6 +48,12 @@
 
 void logEvent(LogLevel Level, std::string_view Event, LogFields Fields);
 
+// The text of an event: event=EVENT followed by the fields. A value with
+// blanks, quotes, backslashes or equal signs is quoted; line breaks and tabs
+// become spaces. Other control characters and bytes that are not UTF-8 are
+// written as \xNN, so that the log is text whatever others sent.
+std::string formatEvent(std::string_view Event, LogFields Fields);
+
 inline void logInfo(std::string_view Event, LogFields Fields = {}) {
   logEvent(LogLevel::Info, Event, Fields);
 }
--- a/cyclamenwind/http/message_parser.cpp
+++ b/cyclamenwind/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "cyclamenwind/http/message_parser.h"
 
+#include "cyclamenwind/base/text.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -115,7 +117,10 @@
       State &Self = of(Raw);
       for (HttpHeader &Header : Self.Headers)
         trimTrailingBlanks(Header.Value);
-      if (hasAmbiguousLength(Self.Headers) || hasBlankInName(Self.Headers)) {
+      bool HasTarget =
+          Self.Kind == MessageKind::Response || isHttpTarget(Self.Target);
+      if (!HasTarget || hasAmbiguousLength(Self.Headers) ||
+          hasBlankInName(Self.Headers)) {
         Self.Error = ParseError::Malformed;
         return -1;
       }
--- a/cyclamenwind/http/message_parser.h
+++ b/cyclamenwind/http/message_parser.h
@@ -4,8 +4,8 @@
 // checks, the parser rejects messages that two parties could interpret
 // differently (request smuggling): more than one Content-Length, Content-Length
 // together with Transfer-Encoding, a Content-Length that is not a plain number,
-// a transfer coding other than chunked, and blanks in or around a header's
-// name.
+// a transfer coding other than chunked, blanks in or around a header's name,
+// and control characters in a request's target.
 
 #ifndef CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
 #define CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
--- a/cyclamenwind/mesh/endpoint.cpp
+++ b/cyclamenwind/mesh/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/mesh/endpoint.h"
 
 #include "cyclamenwind/base/names.h"
+#include "cyclamenwind/base/text.h"
 #include "cyclamenwind/wire/gen-cpp/mesh_types.h"
 
 #include <limits>
@@ -44,6 +45,12 @@
          Endpoint.Slots > 0 && Endpoint.Slots <= MaxSlots;
 }
 
+// Whether formatEndpoint() can write the record.
+bool isReadable(const MeshEndpoint &Endpoint) {
+  return isUtf8(Endpoint.Id) && isUtf8(Endpoint.Service) &&
+         isUtf8(Endpoint.Version) && isUtf8(Endpoint.FailureDomain);
+}
+
 } // namespace
 
 std::string_view nameOf(EndpointState State) {
@@ -83,7 +90,7 @@
   Endpoint.Slots = Record.slots;
   Endpoint.StartedAtMs = Record.born;
   Endpoint.Sequence = Record.sequence;
-  if (!isComplete(Endpoint))
+  if (!isComplete(Endpoint) || !isReadable(Endpoint))
     return std::nullopt;
   return Endpoint;
 }
--- a/cyclamenwind/mesh/endpoint.h
+++ b/cyclamenwind/mesh/endpoint.h
@@ -54,10 +54,12 @@
 
 wire::EndpointRecord toWire(const MeshEndpoint &Endpoint);
 
-// Returns nothing if Record is incomplete or malformed.
+// Returns nothing if Record is incomplete or malformed, or if one of its texts
+// is not UTF-8.
 std::optional<MeshEndpoint> fromWire(const wire::EndpointRecord &Record);
 
-// Encodes Endpoint as the JSON text that is stored on the platform.
+// Encodes Endpoint as the JSON text that is stored on the platform. All its
+// texts must be UTF-8.
 std::string formatEndpoint(const MeshEndpoint &Endpoint);
 
 // Returns nothing if Text is not such an encoding of a complete record.
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "cyclamenwind/base/log.h"
 #include "cyclamenwind/base/names.h"
+#include "cyclamenwind/wire/http_text.h"
 
 namespace cyclamenwind {
 namespace {
@@ -53,6 +54,13 @@
   return Reply;
 }
 
+// Whether everything in Message that goes to the server can be written there.
+bool isForwardable(const wire::ForwardRequest &Message) {
+  return isHttpRequest(Message) && isHeaderValue(Message.attemptId) &&
+         isHeaderValue(Message.callerService) &&
+         isHeaderValue(Message.instanceId);
+}
+
 // Whether callers take Status as a guarantee that the request did not run.
 bool impliesNotRun(int Status) {
   return Status == 408 || Status == Misdirected || Status == 429 ||
@@ -482,7 +490,7 @@
                                   std::string_view Payload) {
   Result<wire::ForwardRequest, FrameError> Message =
       decodeMessage<wire::ForwardRequest>(Payload);
-  if (!Message) {
+  if (!Message || !isForwardable(Message.value())) {
     logWarning("frame_malformed", {{"peer", From.text()}});
     return;
   }
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/mesh/outbound_proxy.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/wire/http_text.h"
 
 #include <algorithm>
 
@@ -244,7 +245,7 @@
                                  std::string_view Payload) {
   Result<wire::ForwardReply, FrameError> Reply =
       decodeMessage<wire::ForwardReply>(Payload);
-  if (!Reply) {
+  if (!Reply || !areHttpHeaders(Reply.value().headers)) {
     logWarning("frame_malformed", {{"peer", From.text()}});
     return;
   }
--- a/cyclamenwind/operators/api.cpp
+++ b/cyclamenwind/operators/api.cpp
@@ -56,8 +56,12 @@
 } // namespace
 
 void replyJson(const ExchangePtr &Received, int Status, const json &Body) {
+  // Queries and records of peers may hold any bytes; those that are not UTF-8
+  // are written as replacement characters.
+  std::string Text =
+      Body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
   Received->reply(
-      {Status, {{"Content-Type", "application/json"}}, Body.dump() + "\n"});
+      {Status, {{"Content-Type", "application/json"}}, std::move(Text)});
 }
 
 json jsonOf(const DocumentErrors &Errors) {
--- a/cyclamenwind/operators/api.h
+++ b/cyclamenwind/operators/api.h
@@ -26,7 +26,8 @@
 
 namespace cyclamenwind {
 
-// Replies with Status and Body as JSON text.
+// Replies with Status and Body as JSON text. Bytes in Body that are not UTF-8
+// are written as replacement characters.
 void replyJson(const ExchangePtr &Received, int Status,
                const nlohmann::json &Body);
 
--- a/cyclamenwind/operators/document_api.cpp
+++ b/cyclamenwind/operators/document_api.cpp
@@ -1,5 +1,6 @@
 #include "cyclamenwind/operators/document_api.h"
 
+#include "cyclamenwind/base/text.h"
 #include "cyclamenwind/document/diff.h"
 #include "cyclamenwind/document/reader.h"
 #include "cyclamenwind/operators/explain.h"
@@ -95,7 +96,12 @@
   }
   AcceptanceRequest Attempt;
   Attempt.Body = std::move(Parsed.value());
-  Attempt.Author = Request.queryValue("author").substr(0, MaxAuthorBytes);
+  std::string Author = Request.queryValue("author");
+  if (!isUtf8(Author)) {
+    replyJson(Received, 400, {{"error", "author is not UTF-8"}});
+    return;
+  }
+  Attempt.Author = utf8Prefix(Author, MaxAuthorBytes);
   Attempt.OperationId = Request.queryValue("operation");
   if (Attempt.OperationId.empty())
     Attempt.OperationId = "op-" + std::to_string(Rng->next());
--- a/cyclamenwind/traffic/inbound_calls.cpp
+++ b/cyclamenwind/traffic/inbound_calls.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/traffic/inbound_calls.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/wire/http_text.h"
 
 namespace cyclamenwind {
 namespace {
@@ -142,7 +143,7 @@
                                   std::string_view Payload) {
   Result<wire::CallRequest, FrameError> Request =
       decodeMessage<wire::CallRequest>(Payload);
-  if (!Request) {
+  if (!Request || !isHttpRequest(Request.value())) {
     logWarning("frame_malformed", {{"peer", From.text()}});
     return;
   }
--- a/cyclamenwind/traffic/outbound_calls.cpp
+++ b/cyclamenwind/traffic/outbound_calls.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/traffic/outbound_calls.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/wire/http_text.h"
 
 #include <charconv>
 
@@ -270,8 +271,10 @@
                                  std::string_view Payload) {
   Result<wire::CallReply, FrameError> Reply =
       decodeMessage<wire::CallReply>(Payload);
-  if (!Reply)
+  if (!Reply || !areHttpHeaders(Reply.value().headers)) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
     return;
+  }
   uint64_t Id = static_cast<uint64_t>(Reply.value().id) / AttemptIdsPerCall;
   auto Found = Calls.find(Id);
   if (Found == Calls.end() || Found->second.Peer != From ||
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -136,15 +136,20 @@
 
 class FakePublisher final : public Service, public EndpointPublisher {
 public:
-  explicit FakePublisher(bool &Answers) : Answers(Answers) {}
+  FakePublisher(bool &Answers, std::map<std::string, std::string> &Published)
+      : Answers(Answers), Published(Published) {}
   std::string_view name() const override { return "store_sync"; }
   void start(Kernel &) override {}
-  void publish(const MeshEndpoint &,
+  void publish(const MeshEndpoint &Record,
                std::function<void(bool)> OnDone) override {
-    if (Answers)
-      OnDone(true);
+    std::string Text = formatEndpoint(Record);
+    if (!Answers)
+      return;
+    Published[Record.Id] = Text;
+    OnDone(true);
   }
   bool &Answers;
+  std::map<std::string, std::string> &Published;
 };
 
 inline MeshConfig meshConfig(uint64_t Revision = 1) {
@@ -197,7 +202,7 @@
         std::make_unique<FakeSender>(Servers), Codec));
     NewDaemon.Outbound = AddService(std::make_unique<OutboundProxy>(
         OutboundProxyOptions{"a", "quote", {0.2, 56, 10s}}, Codec));
-    AddService(std::make_unique<FakePublisher>(StoreAnswers));
+    AddService(std::make_unique<FakePublisher>(StoreAnswers, Published));
     NewDaemon.Registry = AddService(std::make_unique<LocalServerRegistry>(
         LocalServerRegistryOptions{{Host, 7000}, 1500ms}));
     NewDaemon.Services->start();
@@ -213,11 +218,13 @@
           auto Message = decodeMessage<wire::EndpointAnnounce>(Payload);
           for (const wire::EndpointRecord &Encoded :
                Message.value().endpoints) {
-            MeshEndpoint Record = *fromWire(Encoded);
-            if (Record.DaemonAddress == From)
-              State->mergeFromOwner(Record);
+            std::optional<MeshEndpoint> Record = fromWire(Encoded);
+            if (!Record)
+              continue;
+            if (Record->DaemonAddress == From)
+              State->mergeFromOwner(*Record);
             else
-              State->merge(Record);
+              State->merge(*Record);
           }
         });
     // The new daemon receives the records of all servers that exist already.
@@ -278,6 +285,8 @@
   FakeServers Servers;
   platform::PlatformHeaderCodec Codec;
   bool StoreAnswers = true;
+  // Texts of the records that daemons have stored on the platform, by server.
+  std::map<std::string, std::string> Published;
   // Records on the platform when a daemon starts.
   std::vector<MeshEndpoint> StoredRecords;
   bool Reporting = true;       // Servers report when their daemon starts.
--- a/tests/operators_api_test.cpp
+++ b/tests/operators_api_test.cpp
@@ -312,3 +312,23 @@
   CHECK(Answer["why"].get<std::string>().find("no_server") !=
         std::string::npos);
 }
+
+// Guards against the end of the daemon by a query with bytes that are not
+// UTF-8, or with an author that was cut within a character.
+TEST_CASE("queries and records of peers may hold any bytes") {
+  DaemonFixture Daemon;
+  CHECK(Daemon.write("/api/document?author=%FF&operation=a", document(500))
+            .Status == 400);
+  std::string Long(99, 'a');
+  CHECK(Daemon
+            .write("/api/document?author=" + Long + "%C3%A9&operation=b",
+                   document(500))
+            .Status == 200);
+  json Accepted = json::parse(Daemon.send("GET", "/api/document").Body);
+  CHECK(Accepted.at("author") == Long);
+  HttpResponse Explained =
+      Daemon.send("GET", "/api/explain?method=POST&path=/quotes/%FF%FE");
+  CHECK(Explained.Status == 200);
+  CHECK_FALSE(json::parse(Explained.Body, nullptr, false).is_discarded());
+  CHECK(Daemon.send("GET", "/api/audit?action=%FF").Status == 200);
+}
