A departure binds the next process of a daemon, whether or not it was stored

Cause: the acknowledgement after 0.6 s without a record was kept in memory only. The next process read the older record, took a delayed report for new, did not ask the server although its health check had just failed, and did not ask peers while the platform answered. Change: for ten seconds after its start a daemon takes a server into use only after a health check; it asks three peers for the records of its own servers and stores what only they know; a stopping daemon with the only copy waits for the platform; records that say that an incarnation leaves are newer than all others of it; a repeated departure waits for the record like the first. Why it works: the server itself is asked, so nothing depends on who else has ended or on which report arrives late. With the check and the order of records taken out again, 3 of the cases of mesh_local_server_registry_test and "an incarnation that leaves does not return" fail.

--- a/cyclamenwind/mesh/endpoint.h
+++ b/cyclamenwind/mesh/endpoint.h
@@ -1,8 +1,10 @@
 // MeshEndpoint: the record of a backend server that daemons exchange and store.
 //
 // An incarnation of a server is identified by the server's id and start time.
-// Records of one incarnation are ordered by the server's own sequence number,
-// and records with equal numbers by state, so they may arrive in any order.
+// An incarnation that leaves does not return: its records that say so are newer
+// than all others. Otherwise records of one incarnation are ordered by the
+// server's own sequence number, and records with equal numbers by state, so
+// they may arrive in any order.
 
 #ifndef CYCLAMENWIND_MESH_ENDPOINT_H
 #define CYCLAMENWIND_MESH_ENDPOINT_H
@@ -45,10 +47,14 @@
   int64_t StartedAtMs = 0; // Start time of the incarnation, Unix milliseconds.
   int64_t Sequence = 0;    // Number of the server's report behind this record.
 
+  // Whether the server leaves or has left.
+  bool leaves() const { return State > EndpointState::Unreachable; }
+
   // Whether this record is newer than Other, a record of the same id.
   bool supersedes(const MeshEndpoint &Other) const {
-    return std::tie(StartedAtMs, Sequence, State) >
-           std::tie(Other.StartedAtMs, Other.Sequence, Other.State);
+    return std::tuple(StartedAtMs, leaves(), Sequence, State) >
+           std::tuple(Other.StartedAtMs, Other.leaves(), Other.Sequence,
+                      Other.State);
   }
 };
 
--- a/cyclamenwind/mesh/local_server_registry.cpp
+++ b/cyclamenwind/mesh/local_server_registry.cpp
@@ -11,9 +11,9 @@
 // seconds late.
 constexpr int MaxMissedReports = 4;
 constexpr Duration TimeoutCheckPeriod = 500ms;
-// An earlier process of this daemon may have acknowledged that a server leaves:
-// a restarted process waits this long for the record of it, from the platform
-// or from peers. Peers open streams to a restarted host within two seconds.
+// How long a restarted process waits for the records of its servers, from the
+// platform or from peers. Peers open streams to a restarted host within two
+// seconds.
 constexpr Duration RecordsWaitLimit = 2500ms;
 // The longest expected delay of a report.
 constexpr Duration ReportDelayLimit = 10s;
@@ -30,11 +30,16 @@
   Publisher = &TheKernel.find<EndpointPublisher>("store_sync");
   Peers = &TheKernel.find<PeerTransport>("peers");
   StartedAt = LastCheckAt = Time->now();
+  ReportsDelayedUntil =
+      Options.FirstStart ? StartedAt : StartedAt + ReportDelayLimit;
   State->onEndpointsKnown([this] {
     retryPendingReports();
     adoptRecordedServers();
   });
-  State->onConfig([this] { adoptRecordedServers(); });
+  State->onConfig([this] {
+    retryPendingReports();
+    adoptRecordedServers();
+  });
   State->onEndpoint(
       [this](const MeshEndpoint &Record) { applyRemoteRecord(Record); });
   TimeoutTimer = Timers->every(TimeoutCheckPeriod, [this] { checkTimeouts(); });
@@ -51,7 +56,7 @@
         continue;
       }
       // A server that leaves can return only as a new incarnation.
-      bool Leaves = Existing.State > EndpointState::Unreachable;
+      bool Leaves = Existing.leaves();
       if (Record.Sequence <= Existing.Sequence ||
           (Leaves && Record.State < Existing.State))
         return false;
@@ -65,6 +70,10 @@
 
 void LocalServerRegistry::report(const ServerReport &Report,
                                  std::function<void()> Acknowledge) {
+  processReport(Report, Time->now(), std::move(Acknowledge));
+}
+
+MeshEndpoint LocalServerRegistry::recordOf(const ServerReport &Report) const {
   MeshEndpoint Record;
   Record.Id = Report.Id;
   Record.Service = Report.Service;
@@ -77,9 +86,16 @@
   Record.Sequence = Report.Sequence;
   Record.State =
       Report.Draining ? EndpointState::Draining : EndpointState::Ready;
-  auto Departure = UnknownDepartures.find(Report.Id);
-  bool HasLeft = Departure != UnknownDepartures.end() &&
-                 Time->now() - Departure->second < ReportDelayLimit;
+  return Record;
+}
+
+void LocalServerRegistry::processReport(const ServerReport &Report,
+                                        TimePoint Received,
+                                        std::function<void()> Acknowledge) {
+  MeshEndpoint Record = recordOf(Report);
+  auto Left = UnknownDepartures.find(Report.Id);
+  bool HasLeft = Left != UnknownDepartures.end() &&
+                 Time->now() - Left->second.Received < ReportDelayLimit;
   if (HasLeft || !isNewer(Record)) {
     logInfo("report_ignored", {{"server", Report.Id},
                                {"born", Report.StartedAtMs},
@@ -89,8 +105,11 @@
   }
   bool AwaitsRecords =
       !State->endpointsKnown() && Time->now() - StartedAt < RecordsWaitLimit;
-  if (!Report.Draining && AwaitsRecords) {
-    PendingReports[Report.Id] = Report;
+  if (!Report.Draining &&
+      (AwaitsRecords || needsHealthCheck(Record, Received))) {
+    PendingReports[Report.Id] = {Report, Received};
+    if (!AwaitsRecords)
+      checkHealth(Record);
     Acknowledge();
     return;
   }
@@ -98,12 +117,87 @@
   updateServer(Record, std::move(Acknowledge));
 }
 
+// Whether a report that was received at Received may have been sent before this
+// process started.
+bool LocalServerRegistry::mayPredateStart(TimePoint Received) const {
+  // Reports that arrive during a pause of this process are read after it.
+  bool WasPaused = Received - LastCheckAt > 2 * TimeoutCheckPeriod;
+  return Received < ReportsDelayedUntil ||
+         (WasPaused && LastCheckAt < ReportsDelayedUntil);
+}
+
+// Whether an earlier process may have acknowledged that the server of Record
+// leaves, and Record may be older than that.
+bool LocalServerRegistry::needsHealthCheck(const MeshEndpoint &Record,
+                                           TimePoint Received) const {
+  auto Found = Servers.find(Record.Id);
+  bool InUse = Found != Servers.end() && Found->second.Announced &&
+               Found->second.Record.StartedAtMs == Record.StartedAtMs;
+  if (InUse || !mayPredateStart(Received))
+    return false;
+  if (State->routes() == nullptr)
+    return true;
+  const MeshService *ServiceConfig = State->routes()->service(Record.Service);
+  return ServiceConfig == nullptr || !ServiceConfig->HealthPath.empty();
+}
+
+// Checks the health of a server that is not in use yet, if its service is known
+// and no check of it is running.
+void LocalServerRegistry::checkHealth(const MeshEndpoint &Record) {
+  if (State->routes() == nullptr)
+    return;
+  const MeshService *ServiceConfig = State->routes()->service(Record.Service);
+  if (ServiceConfig == nullptr || ServiceConfig->HealthPath.empty() ||
+      !RunningHealthChecks.insert(Record.Id).second)
+    return;
+  Inbound->checkHealth(Record, ServiceConfig->HealthPath,
+                       [this, Record](bool Healthy) {
+                         RunningHealthChecks.erase(Record.Id);
+                         onHealthChecked(Record, Healthy);
+                       });
+}
+
+// Takes the server into use if it is healthy and has not left meanwhile. If
+// not, a pending report of it is tried again at the next check of timeouts.
+void LocalServerRegistry::onHealthChecked(const MeshEndpoint &Record,
+                                          bool Healthy) {
+  if (!Healthy || UnknownDepartures.count(Record.Id) != 0)
+    return;
+  MeshEndpoint Checked = Record;
+  auto Pending = PendingReports.find(Record.Id);
+  bool HasReported = Pending != PendingReports.end() &&
+                     Pending->second.Report.StartedAtMs == Record.StartedAtMs;
+  if (HasReported) {
+    Checked = recordOf(Pending->second.Report);
+    PendingReports.erase(Pending);
+  }
+  auto Found = Servers.find(Record.Id);
+  bool InUse = Found != Servers.end() && Found->second.Announced;
+  const MeshEndpoint *Known = State->directory().find(Record.Id);
+  bool WasRemoved = Known == nullptr && !HasReported;
+  bool HasLeft =
+      Known != nullptr &&
+      (Known->StartedAtMs > Checked.StartedAtMs ||
+       (Known->StartedAtMs == Checked.StartedAtMs && Known->leaves()));
+  if (InUse || WasRemoved || HasLeft)
+    return;
+  Checked.State = EndpointState::Ready;
+  updateServer(Checked, [] {});
+}
+
 // Peers may know that a local backend server leaves when this process does not:
-// an earlier process of this daemon acknowledged it and told them.
+// an earlier process of this daemon acknowledged it and told them. That process
+// may have ended before it wrote the record to the platform.
 void LocalServerRegistry::applyRemoteRecord(const MeshEndpoint &Record) {
-  if (Record.DaemonAddress != Options.DaemonAddress ||
-      Record.State <= EndpointState::Unreachable)
+  if (Record.DaemonAddress != Options.DaemonAddress)
+    return;
+  if (!Record.leaves()) {
+    auto Left = UnknownDepartures.find(Record.Id);
+    if (Left != UnknownDepartures.end())
+      leave(Record.Id, Left->second.StartedAtMs, [] {});
     return;
+  }
+  PendingReports.erase(Record.Id);
   ServerEntry &Entry = Servers[Record.Id];
   if (!Record.supersedes(Entry.Record))
     return;
@@ -112,6 +206,7 @@
                                      {"sequence", Record.Sequence}});
   Entry.Record = Record;
   Inbound->serverChanged(Record);
+  Publisher->publish(Record, [](bool) {});
 }
 
 // A local server may have kept running while this daemon was down. The record
@@ -123,37 +218,18 @@
   Adopted = true;
   std::vector<MeshEndpoint> LocalRecords;
   for (const auto &[Id, Record] : State->directory().all())
-    if (Record.DaemonAddress == Options.DaemonAddress &&
-        Record.State <= EndpointState::Unreachable && Servers.count(Id) == 0)
+    if (Record.DaemonAddress == Options.DaemonAddress && !Record.leaves() &&
+        Servers.count(Id) == 0)
       LocalRecords.push_back(Record);
-  for (const MeshEndpoint &Record : LocalRecords) {
-    const MeshService *ServiceConfig = State->routes()->service(Record.Service);
-    if (ServiceConfig == nullptr || ServiceConfig->HealthPath.empty())
-      continue;
-    Inbound->checkHealth(Record, ServiceConfig->HealthPath,
-                         [this, Record](bool Healthy) {
-                           if (Healthy)
-                             adopt(Record);
-                         });
-  }
-}
-
-void LocalServerRegistry::adopt(MeshEndpoint Record) {
-  const MeshEndpoint *Current = State->directory().find(Record.Id);
-  if (Servers.count(Record.Id) != 0 ||
-      UnknownDepartures.count(Record.Id) != 0 || Current == nullptr ||
-      Current->StartedAtMs != Record.StartedAtMs ||
-      Current->State > EndpointState::Unreachable)
-    return;
-  Record.State = EndpointState::Ready;
-  updateServer(Record, [] {});
+  for (const MeshEndpoint &Record : LocalRecords)
+    checkHealth(Record);
 }
 
 void LocalServerRegistry::retryPendingReports() {
-  std::map<std::string, ServerReport> Reports;
+  std::map<std::string, PendingReport> Reports;
   Reports.swap(PendingReports);
-  for (const auto &[Id, Report] : Reports)
-    report(Report, [] {});
+  for (const auto &[Id, Pending] : Reports)
+    processReport(Pending.Report, Pending.Received, [] {});
 }
 
 void LocalServerRegistry::leave(const std::string &Id, int64_t StartedAtMs,
@@ -163,7 +239,7 @@
   const MeshEndpoint *Recorded = State->directory().find(Id);
   if (Found == Servers.end() && Recorded == nullptr) {
     logInfo("leave_of_unknown_server", {{"server", Id}});
-    UnknownDepartures[Id] = Time->now();
+    UnknownDepartures[Id] = {StartedAtMs, Time->now()};
     Acknowledge();
     return;
   }
@@ -183,8 +259,7 @@
 
 void LocalServerRegistry::serverSaysLeaving(const std::string &Id) {
   auto Found = Servers.find(Id);
-  if (Found == Servers.end() ||
-      Found->second.Record.State > EndpointState::Unreachable)
+  if (Found == Servers.end() || Found->second.Record.leaves())
     return;
   MeshEndpoint Record = Found->second.Record;
   Record.State = EndpointState::Draining;
@@ -203,24 +278,37 @@
   Entry.Record = Record;
   Entry.LastReceived = Time->now();
   Entry.TimedOut = false;
-  if (!Changed) {
+  bool Leaves = Record.State != EndpointState::Ready;
+  if (!Changed && !Leaves) {
     Acknowledge();
     return;
   }
-  Entry.Announced = true;
-  logInfo("server_reported", {{"server", Record.Id},
-                              {"service", Record.Service},
-                              {"version", Record.Version},
-                              {"state", nameOf(Record.State)},
-                              {"born", Record.StartedAtMs},
-                              {"sequence", Record.Sequence}});
-  Inbound->serverChanged(Record);
-  announce(Record);
-  if (Record.State == EndpointState::Ready) {
+  if (Changed) {
+    Entry.Announced = true;
+    logInfo("server_reported", {{"server", Record.Id},
+                                {"service", Record.Service},
+                                {"version", Record.Version},
+                                {"state", nameOf(Record.State)},
+                                {"born", Record.StartedAtMs},
+                                {"sequence", Record.Sequence}});
+    Inbound->serverChanged(Record);
+    announce(Record);
+  }
+  if (!Leaves) {
     Publisher->publish(Record, [](bool) {});
     Acknowledge();
     return;
   }
+  // A server repeats a departure that was not acknowledged in time; the record
+  // may still not be written then.
+  Publisher->publish(Record, [AckOnce = acknowledgeInTime(std::move(
+                                  Acknowledge))](bool) { AckOnce(); });
+}
+
+// Returns a function that calls Acknowledge unless it was called before, which
+// happens after AckTimeout.
+std::function<void()>
+LocalServerRegistry::acknowledgeInTime(std::function<void()> Acknowledge) {
   auto PendingAck =
       std::make_shared<std::function<void()>>(std::move(Acknowledge));
   auto AckOnce = [PendingAck] {
@@ -235,7 +323,12 @@
     AckTimers.erase(AckId);
     AckOnce();
   });
-  Publisher->publish(Record, [AckOnce](bool) { AckOnce(); });
+  return AckOnce;
+}
+
+bool LocalServerRegistry::holdsOnlyCopy() const {
+  return Publisher->unwrittenDepartures() > 0 &&
+         Peers->connectedPeers().empty();
 }
 
 void LocalServerRegistry::announce(const MeshEndpoint &Record) {
@@ -262,11 +355,19 @@
   // After a pause of this process, the reports that arrived during the pause
   // are read before servers are timed out.
   bool WasPaused = Now - LastCheckAt > 2 * TimeoutCheckPeriod;
+  if (WasPaused && LastCheckAt < ReportsDelayedUntil)
+    ReportsDelayedUntil = Now + ReportDelayLimit;
   LastCheckAt = Now;
   retryPendingReports();
-  std::erase_if(UnknownDepartures, [Now](const auto &Entry) {
-    return Now - Entry.second >= ReportDelayLimit;
+  // The server reports again if it has not left.
+  std::erase_if(PendingReports, [Now](const auto &Entry) {
+    return Now - Entry.second.Received >= ReportDelayLimit;
   });
+  // A departure is kept until it is known whether there is a record of it.
+  if (State->endpointsKnown())
+    std::erase_if(UnknownDepartures, [Now](const auto &Entry) {
+      return Now - Entry.second.Received >= ReportDelayLimit;
+    });
   // The directory keeps records of servers that left longer than a report can
   // be delayed.
   std::erase_if(Servers, [this](const auto &Entry) {
--- a/cyclamenwind/mesh/local_server_registry.h
+++ b/cyclamenwind/mesh/local_server_registry.h
@@ -3,15 +3,21 @@
 // A report is accepted if it is of the latest incarnation at its address and
 // newer than the known record of that incarnation; a delayed report changes
 // nothing. A server leaves by reporting that it is draining, by deregistering,
-// or by saying so in its responses. Its record is written to the platform
-// before that message is acknowledged: otherwise a daemon that is killed right
-// after the acknowledgement and restarts would treat the server as ready when a
-// delayed report arrives. If the platform does not answer within AckTimeout,
-// the message is acknowledged all the same, since this daemon sends the server
-// no further requests. A restarted process waits for the records of the
-// platform or of its peers, at most RecordsWaitLimit, before it treats a server
-// as ready. It checks the health of the local servers in those records at once;
-// one that is healthy becomes ready without waiting for its next report.
+// or by saying so in its responses. Such a message is acknowledged when the
+// server's record is written to the platform or, if the platform does not
+// answer, after AckTimeout: from then on this process sends the server no
+// further requests, and peers have been sent the record.
+//
+// The next process of this daemon must not send any either, however this one
+// ends and whether or not the record was written. It reads the records of the
+// platform or of a peer, at most for RecordsWaitLimit, before it takes a server
+// into use. Since a departure may be missing there, and a report may have been
+// sent before the departure and arrive late, it also asks the server: within
+// ReportDelayLimit of its start, a server is taken into use only after a health
+// check, which a server that leaves fails. This holds for recorded servers,
+// which need not report again, and for reports. In addition peer_sync.h asks a
+// few peers for the records of the local servers; a departure that only they
+// know is then written to the platform.
 
 #ifndef CYCLAMENWIND_MESH_LOCAL_SERVER_REGISTRY_H
 #define CYCLAMENWIND_MESH_LOCAL_SERVER_REGISTRY_H
@@ -20,6 +26,8 @@
 #include "cyclamenwind/mesh/inbound_proxy.h"
 #include "cyclamenwind/mesh/mesh_state.h"
 
+#include <set>
+
 namespace cyclamenwind {
 
 // A backend server's report on itself.
@@ -38,6 +46,9 @@
 struct LocalServerRegistryOptions {
   Address DaemonAddress; // Where other daemons reach this daemon.
   Duration ReportPeriod; // Interval between two reports of a server.
+  // The whole mesh starts for the first time: no earlier process of this daemon
+  // has acknowledged anything.
+  bool FirstStart = false;
 };
 
 class EndpointPublisher {
@@ -47,6 +58,8 @@
   // calls it if the write is abandoned.
   virtual void publish(const MeshEndpoint &Record,
                        std::function<void(bool Stored)> OnDone) = 0;
+  // Number of published records of servers that leave which are not stored yet.
+  virtual size_t unwrittenDepartures() const = 0;
 };
 
 // A service named "registry".
@@ -74,6 +87,11 @@
   // Tells peers that this daemon stops, so that they choose other servers.
   void announceStopping();
 
+  // Whether the end of this process would lose a departure that it has
+  // acknowledged: its record is neither stored on the platform nor has a
+  // connected peer been sent it.
+  bool holdsOnlyCopy() const;
+
 private:
   struct ServerEntry {
     MeshEndpoint Record;
@@ -81,11 +99,26 @@
     bool TimedOut = false;
     bool Announced = false; // Whether this process has announced it.
   };
+  struct PendingReport {
+    ServerReport Report;
+    TimePoint Received;
+  };
+  struct Departure {
+    int64_t StartedAtMs = 0; // Of the incarnation; 0 if unknown.
+    TimePoint Received;
+  };
 
+  void processReport(const ServerReport &Report, TimePoint Received,
+                     std::function<void()> Acknowledge);
+  MeshEndpoint recordOf(const ServerReport &Report) const;
+  bool mayPredateStart(TimePoint Received) const;
+  bool needsHealthCheck(const MeshEndpoint &Record, TimePoint Received) const;
+  void checkHealth(const MeshEndpoint &Record);
+  void onHealthChecked(const MeshEndpoint &Record, bool Healthy);
+  std::function<void()> acknowledgeInTime(std::function<void()> Acknowledge);
   bool isNewer(const MeshEndpoint &Record) const;
   void applyRemoteRecord(const MeshEndpoint &Record);
   void adoptRecordedServers();
-  void adopt(MeshEndpoint Record);
   void retryPendingReports();
   void updateServer(const MeshEndpoint &Record,
                     std::function<void()> Acknowledge);
@@ -100,14 +133,18 @@
   EndpointPublisher *Publisher = nullptr;
   PeerTransport *Peers = nullptr;
   std::map<std::string, ServerEntry> Servers;
-  // Reports received before the records of servers were read, by server id.
-  std::map<std::string, ServerReport> PendingReports;
-  // When servers without a record here deregistered, by id, so that a delayed
-  // report does not register them again.
-  std::map<std::string, TimePoint> UnknownDepartures;
+  // Reports that wait for the records of servers or for a health check, by
+  // server id.
+  std::map<std::string, PendingReport> PendingReports;
+  std::set<std::string> RunningHealthChecks; // By server id.
+  // Deregistrations of servers without a record here, by id, so that a delayed
+  // report or a record read later does not bring them back.
+  std::map<std::string, Departure> UnknownDepartures;
   bool Adopted = false; // Whether adoptRecordedServers() has run.
   TimePoint StartedAt;
   TimePoint LastCheckAt;
+  // Reports received before may have been sent before this process started.
+  TimePoint ReportsDelayedUntil;
   std::map<uint64_t, TimerHandle> AckTimers;
   uint64_t NextAckId = 1;
   TimerHandle TimeoutTimer;
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -108,9 +108,10 @@
       Adapters.Headers));
   Services.add(std::make_unique<StoreSync>(
       Client, Adapters.Objects, Settings.FailureDomain, Settings.FirstStart));
-  Services.add(std::make_unique<LocalServerRegistry>(
-      LocalServerRegistryOptions{Settings.Peers, Settings.ReportPeriod}));
-  Services.add(std::make_unique<PeerSync>(Adapters.Objects));
+  Services.add(std::make_unique<LocalServerRegistry>(LocalServerRegistryOptions{
+      Settings.Peers, Settings.ReportPeriod, Settings.FirstStart}));
+  Services.add(
+      std::make_unique<PeerSync>(Adapters.Objects, Settings.FirstStart));
   Services.add(std::make_unique<ConfigRelay>(Adapters.Objects));
   Services.add(std::make_unique<RolloutController>());
   if (Settings.LinkBytesPerSecond > 0)
@@ -270,7 +271,8 @@
     CallerServer->stopReading();
     Services.find<InboundProxy>("gate").refuseNew();
   }
-  if (unfinished() > 0)
+  if (unfinished() > 0 ||
+      Services.find<LocalServerRegistry>("registry").holdsOnlyCopy())
     return;
   logInfo("daemon_stopped", {{"cause", "drained"}});
   TheLoop.stop();
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -45,8 +45,8 @@
   std::optional<Address> start();
 
   // Stops gracefully: fails readiness probes, notifies peers, finishes running
-  // requests, and stops the loop when none is left or StopMargin before the
-  // stop limit.
+  // requests, and stops the loop when none is left, and no departure of a
+  // server is known to this process alone, or StopMargin before the stop limit.
   void shutdown();
 
   // Compares the addresses in Changed with those in use and logs whether a
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -26,6 +26,11 @@
 constexpr Duration ProbeBackoffBase = 1s;
 constexpr int MaxProbeDoublings = 3;
 constexpr Duration RemoveAfter = 30s;
+// Peers that a restarted daemon asks for the records of its own servers, and
+// how long it looks for connected ones. Several, because some may have been
+// restarted as well.
+constexpr size_t MaxOwnRecordPulls = 3;
+constexpr Duration OwnRecordsPeriod = 10s;
 
 } // namespace
 
@@ -56,6 +61,29 @@
   LastTickAt = ObservedSince = Time->now();
   TickTimer = Timers->every(TickPeriod, [this] { tick(); });
   StartTimer = Timers->every(StartPeriod, [this] { pullAtStart(); });
+  StartedAt = Time->now();
+  if (!FirstStart)
+    OwnRecordsTimer = Timers->every(StartPeriod, [this] { pullOwnRecords(); });
+}
+
+void PeerSync::pullOwnRecords() {
+  std::vector<Address> Connected = Peers->connectedPeers();
+  std::erase_if(Connected, [this](const Address &Peer) {
+    return AskedForOwnRecords.count(Peer) != 0;
+  });
+  while (!Connected.empty() && AskedForOwnRecords.size() < MaxOwnRecordPulls) {
+    auto Chosen = Connected.begin() +
+                  static_cast<std::ptrdiff_t>(Rng->below(Connected.size()));
+    wire::StatePull Message;
+    Message.configRevision = static_cast<int64_t>(State->configRevision());
+    Message.ownRecordsOnly = true;
+    Peers->sendMessage(*Chosen, FrameType::StatePull, Message);
+    AskedForOwnRecords.insert(*Chosen);
+    Connected.erase(Chosen);
+  }
+  if (AskedForOwnRecords.size() == MaxOwnRecordPulls ||
+      Time->now() - StartedAt >= OwnRecordsPeriod)
+    OwnRecordsTimer.reset();
 }
 
 void PeerSync::pullAtStart() {
@@ -73,6 +101,7 @@
   TickTimer.reset();
   StartTimer.reset();
   CatchUpTimer.reset();
+  OwnRecordsTimer.reset();
 }
 
 void PeerSync::receiveAnnounce(const Address &From, std::string_view Payload) {
@@ -101,11 +130,13 @@
     return;
   }
   wire::StateReply Reply;
+  bool OwnOnly = Message.value().ownRecordsOnly;
   Reply.configRevision = static_cast<int64_t>(State->configRevision());
-  if (Reply.configRevision > Message.value().configRevision)
+  if (!OwnOnly && Reply.configRevision > Message.value().configRevision)
     Reply.config = makePatch("", State->configText());
   for (const auto &[Id, Endpoint] : State->directory().all())
-    Reply.endpoints.push_back(toWire(Endpoint));
+    if (!OwnOnly || Endpoint.DaemonAddress == From)
+      Reply.endpoints.push_back(toWire(Endpoint));
   Peers->sendMessage(From, FrameType::StateReply, Reply);
 }
 
--- a/cyclamenwind/mesh/peer_sync.h
+++ b/cyclamenwind/mesh/peer_sync.h
@@ -10,6 +10,10 @@
 // second. Each daemon keeps streams open to all known daemons, so that peers
 // reach a restarted process even while the platform is unreachable.
 //
+// A daemon that was restarted asks a few peers for the records of its own
+// servers: the earlier process may have told them of a departure that it did
+// not write to the platform (local_server_registry.h).
+//
 // A host that has been unreachable for RemoveAfter is treated as dead: the
 // daemon with the lowest address removes its records from the platform. If the
 // host is alive after all, its daemon writes its records again (store_sync.h).
@@ -26,7 +30,10 @@
 // A service named "peer_sync".
 class PeerSync final : public Service {
 public:
-  explicit PeerSync(const MeshCodec &Codec) : Codec(Codec) {}
+  // FirstStart: the whole mesh starts for the first time, so that peers have no
+  // records yet.
+  explicit PeerSync(const MeshCodec &Codec, bool FirstStart = false)
+      : Codec(Codec), FirstStart(FirstStart) {}
 
   std::string_view name() const override { return "peer_sync"; }
   void start(Kernel &TheKernel) override;
@@ -47,12 +54,14 @@
   void scheduleCatchUp(const Address &Peer);
   void tick();
   void pullAtStart();
+  void pullOwnRecords();
   void maintainStreams();
   void maintainStream(const Address &Daemon);
   std::vector<Address> pullCandidates() const;
   void removeDeadEndpoints(TimePoint Now);
 
   const MeshCodec &Codec;
+  bool FirstStart;
   Clock *Time = nullptr;
   Scheduler *Timers = nullptr;
   Random *Rng = nullptr;
@@ -66,6 +75,9 @@
   TimePoint ObservedSince;
   TimerHandle TickTimer;
   TimerHandle StartTimer;
+  TimePoint StartedAt;
+  std::set<Address> AskedForOwnRecords;
+  TimerHandle OwnRecordsTimer;
   TimerHandle CatchUpTimer;
 };
 
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -477,15 +477,22 @@
   Platform.write(
       endpointKey(Id), formatEndpoint(Entry.Record),
       Existing == Stored.end() ? 0 : Existing->second.Version,
-      [this, Id, Sequence = Entry.Record.Sequence,
-       State = Entry.Record.State](Result<uint64_t, PlatformError> Outcome) {
-        onWritten(Id, Sequence, State, Outcome);
+      [this, Written = Entry.Record](Result<uint64_t, PlatformError> Outcome) {
+        onWritten(Written, Outcome);
       });
 }
 
-void StoreSync::onWritten(const std::string &Id, uint64_t Sequence,
-                          EndpointState WrittenState,
+size_t StoreSync::unwrittenDepartures() const {
+  return static_cast<size_t>(std::count_if(
+      Publications.begin(), Publications.end(), [this](const auto &Entry) {
+        const MeshEndpoint &Record = Entry.second.Record;
+        return Record.leaves() && !isStored(Record);
+      }));
+}
+
+void StoreSync::onWritten(const MeshEndpoint &Written,
                           Result<uint64_t, PlatformError> Outcome) {
+  const std::string &Id = Written.Id;
   auto Found = Publications.find(Id);
   if (Found == Publications.end())
     return;
@@ -507,9 +514,9 @@
   Entry.Failures = 0;
   StoredRecord &Previous = Stored[Id];
   if (Outcome.value() >= Previous.Version)
-    Previous = {Outcome.value(), Entry.Record};
-  bool IsNewest = static_cast<uint64_t>(Entry.Record.Sequence) == Sequence &&
-                  Entry.Record.State == WrittenState;
+    Previous = {Outcome.value(), Written};
+  bool IsNewest = Entry.Record.Sequence == Written.Sequence &&
+                  Entry.Record.State == Written.State;
   if (!IsNewest) {
     write(Id);
     return;
@@ -518,7 +525,7 @@
   Callbacks.swap(Entry.Callbacks);
   for (const auto &Callback : Callbacks)
     Callback(true);
-  if (WrittenState == EndpointState::Gone)
+  if (Written.State == EndpointState::Gone)
     scheduleRemoval(Id);
 }
 
@@ -551,8 +558,7 @@
                   }
                   bool IsStored = Current && !Entry.Record.supersedes(*Current);
                   if (IsStored)
-                    onWritten(Id, static_cast<uint64_t>(Entry.Record.Sequence),
-                              Entry.Record.State, Read.value().Version);
+                    onWritten(MeshEndpoint(Entry.Record), Read.value().Version);
                   else
                     write(Id);
                 });
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -72,6 +72,7 @@
 
   void publish(const MeshEndpoint &Record,
                std::function<void(bool Stored)> OnDone) override;
+  size_t unwrittenDepartures() const override;
 
   // Removes the platform's record of a server that left or whose host is dead.
   void removeRecord(const std::string &Id);
@@ -177,7 +178,7 @@
   void onEndpointsListed(const PlatformListing &Listing);
   void onEndpointRemoved(const std::string &Id);
   void write(const std::string &Id);
-  void onWritten(const std::string &Id, uint64_t Sequence, EndpointState State,
+  void onWritten(const MeshEndpoint &Written,
                  Result<uint64_t, PlatformError> Outcome);
   void readBack(const std::string &Id);
   void retryLater(const std::string &Id);
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -1600,6 +1600,10 @@
 void StatePull::__set_configRevision(const int64_t val) {
   this->configRevision = val;
 }
+
+void StatePull::__set_ownRecordsOnly(const bool val) {
+  this->ownRecordsOnly = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatePull& obj)
 {
   obj.printTo(out);
@@ -1636,6 +1640,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ownRecordsOnly);
+          this->__isset.ownRecordsOnly = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1657,6 +1669,10 @@
   xfer += oprot->writeI64(this->configRevision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ownRecordsOnly", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->ownRecordsOnly);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1665,24 +1681,29 @@
 void swap(StatePull &a, StatePull &b) {
   using ::std::swap;
   swap(a.configRevision, b.configRevision);
+  swap(a.ownRecordsOnly, b.ownRecordsOnly);
   swap(a.__isset, b.__isset);
 }
 
 StatePull::StatePull(const StatePull& other39) noexcept {
   configRevision = other39.configRevision;
+  ownRecordsOnly = other39.ownRecordsOnly;
   __isset = other39.__isset;
 }
 StatePull::StatePull(StatePull&& other40) noexcept {
   configRevision = other40.configRevision;
+  ownRecordsOnly = other40.ownRecordsOnly;
   __isset = other40.__isset;
 }
 StatePull& StatePull::operator=(const StatePull& other41) noexcept {
   configRevision = other41.configRevision;
+  ownRecordsOnly = other41.ownRecordsOnly;
   __isset = other41.__isset;
   return *this;
 }
 StatePull& StatePull::operator=(StatePull&& other42) noexcept {
   configRevision = other42.configRevision;
+  ownRecordsOnly = other42.ownRecordsOnly;
   __isset = other42.__isset;
   return *this;
 }
@@ -1690,6 +1711,7 @@
   using ::apache::thrift::to_string;
   out << "StatePull(";
   out << "configRevision=" << to_string(configRevision);
+  out << ", " << "ownRecordsOnly=" << to_string(ownRecordsOnly);
   out << ")";
 }
 
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -604,8 +604,9 @@
 std::ostream& operator<<(std::ostream& out, const EndpointAnnounce& obj);
 
 typedef struct _StatePull__isset {
-  _StatePull__isset() : configRevision(false) {}
+  _StatePull__isset() : configRevision(false), ownRecordsOnly(false) {}
   bool configRevision :1;
+  bool ownRecordsOnly :1;
 } _StatePull__isset;
 
 class StatePull : public virtual ::apache::thrift::TBase {
@@ -616,20 +617,26 @@
   StatePull& operator=(const StatePull&) noexcept;
   StatePull& operator=(StatePull&&) noexcept;
   StatePull() noexcept
-            : configRevision(0) {
+            : configRevision(0),
+              ownRecordsOnly(0) {
   }
 
   virtual ~StatePull() noexcept;
   int64_t configRevision;
+  bool ownRecordsOnly;
 
   _StatePull__isset __isset;
 
   void __set_configRevision(const int64_t val);
 
+  void __set_ownRecordsOnly(const bool val);
+
   bool operator == (const StatePull & rhs) const
   {
     if (!(configRevision == rhs.configRevision))
       return false;
+    if (!(ownRecordsOnly == rhs.ownRecordsOnly))
+      return false;
     return true;
   }
   bool operator != (const StatePull &rhs) const {
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -99,6 +99,9 @@
 // Requests a peer's configuration and endpoint records.
 struct StatePull {
   1: i64 configRevision
+  // Whether to send only the records of the requester's own servers, and no
+  // configuration.
+  2: bool ownRecordsOnly
 }
 
 struct StateReply {
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -44,6 +44,7 @@
   std::map<std::string, int> Cancelled; // Cancelled runs, by host.
   std::vector<HttpRequest> ReceivedRequests;
   int HealthChecks = 0;
+  std::map<std::string, int> HealthChecksByHost;
 
   VirtualTime &Time;
 };
@@ -82,6 +83,7 @@
                                                 : Handling.Body};
     if (Request.Target == "/health") {
       ++Servers.HealthChecks;
+      ++Servers.HealthChecksByHost[To.Host];
       Response.Status = Handling.Healthy ? 200 : 503;
       Response.Headers.push_back(
           {"Cyclamenwind-Instance-Id",
@@ -143,11 +145,15 @@
   void publish(const MeshEndpoint &Record,
                std::function<void(bool)> OnDone) override {
     std::string Text = formatEndpoint(Record);
-    if (!Answers)
+    if (!Answers) {
+      Unwritten += Record.leaves() ? 1 : 0;
       return;
+    }
     Published[Record.Id] = Text;
     OnDone(true);
   }
+  size_t unwrittenDepartures() const override { return Unwritten; }
+  size_t Unwritten = 0;
   bool &Answers;
   std::map<std::string, std::string> &Published;
 };
@@ -186,7 +192,24 @@
   };
 
   void add(const std::string &Host) {
-    Daemon &NewDaemon = Daemons.emplace_back();
+    start(Daemons.emplace_back(), Host);
+    if (Reporting)
+      report(Daemons.size() - 1, 1);
+  }
+
+  // Ends the process of a daemon at once.
+  void kill(size_t Index) {
+    Daemons[Index].Services->stop();
+    Daemons[Index].Services.reset();
+  }
+
+  // Starts a process of a daemon that was killed.
+  void restart(size_t Index) {
+    FirstStart = false;
+    start(Daemons[Index], "10.0.0." + std::to_string(Index + 1));
+  }
+
+  void start(Daemon &NewDaemon, const std::string &Host) {
     NewDaemon.Rng = std::make_unique<Random>(Daemons.size());
     NewDaemon.Services = std::make_unique<Kernel>(Time, Time, *NewDaemon.Rng);
     auto AddService = [&NewDaemon](auto Owned) {
@@ -204,7 +227,7 @@
         OutboundProxyOptions{"a", "quote", {0.2, 56, 10s}}, Codec));
     AddService(std::make_unique<FakePublisher>(StoreAnswers, Published));
     NewDaemon.Registry = AddService(std::make_unique<LocalServerRegistry>(
-        LocalServerRegistryOptions{{Host, 7000}, 1500ms}));
+        LocalServerRegistryOptions{{Host, 7000}, 1500ms, FirstStart}));
     NewDaemon.Services->start();
     for (const MeshEndpoint &Endpoint : StoredRecords)
       NewDaemon.State->merge(Endpoint);
@@ -227,12 +250,13 @@
               State->merge(*Record);
           }
         });
+    if (!PeersTell)
+      return;
     // The new daemon receives the records of all servers that exist already.
     for (Daemon &Other : Daemons)
-      for (const auto &[Id, Endpoint] : Other.State->directory().all())
-        NewDaemon.State->merge(Endpoint);
-    if (Reporting)
-      report(Daemons.size() - 1, 1);
+      if (Other.Services && &Other != &NewDaemon)
+        for (const auto &[Id, Endpoint] : Other.State->directory().all())
+          NewDaemon.State->merge(Endpoint);
   }
 
   ServerReport reportOf(size_t Index, int64_t Sequence, bool Draining = false) {
@@ -289,8 +313,10 @@
   std::map<std::string, std::string> Published;
   // Records on the platform when a daemon starts.
   std::vector<MeshEndpoint> StoredRecords;
+  bool FirstStart = true;      // Of the daemons that are added.
   bool Reporting = true;       // Servers report when their daemon starts.
   bool EndpointsListed = true; // Daemons have listed the platform's records.
+  bool PeersTell = true;       // Daemons that start get the records of others.
   std::deque<Daemon> Daemons;
   int Sent = 0;
 };
--- a/tests/mesh_endpoint_directory_test.cpp
+++ b/tests/mesh_endpoint_directory_test.cpp
@@ -76,3 +76,19 @@
   Endpoint.Slots = 0;
   CHECK_FALSE(parseEndpoint(formatEndpoint(Endpoint)));
 }
+
+// Guards against a departure that is forgotten when a delayed report reaches
+// another daemon first.
+TEST_CASE("an incarnation that leaves does not return, whatever its numbers") {
+  EndpointDirectory Directory;
+  Directory.merge(server("s", 100, 5, EndpointState::Draining));
+  CHECK_FALSE(Directory.merge(server("s", 100, 8)));
+  CHECK_FALSE(Directory.mergeFromOwner(server("s", 100, 9)));
+  CHECK(Directory.merge(server("s", 100, 4, EndpointState::Gone)) == false);
+  CHECK(Directory.merge(server("s", 100, 5, EndpointState::Gone)));
+  CHECK(Directory.merge(server("r", 100, 9, EndpointState::Ready, "10.0.0.2")));
+  CHECK(Directory.merge(
+      server("r", 100, 2, EndpointState::Draining, "10.0.0.2")));
+  CHECK(Directory.ready("quote").empty());
+  CHECK(Directory.merge(server("s", 200, 1)));
+}
--- a/tests/mesh_local_server_registry_test.cpp
+++ b/tests/mesh_local_server_registry_test.cpp
@@ -9,6 +9,32 @@
 using namespace cyclamenwind::literals;
 using namespace cyclamenwind::testing;
 
+namespace {
+
+enum class StoreReturns { BeforeStart, AfterStart, Never };
+
+// Requests of callers that reached the server on Host.
+int runsOn(MeshWorld &World, const std::string &Host) {
+  return World.Servers.Arrivals[Host] - World.Servers.HealthChecksByHost[Host];
+}
+
+void leave(MeshWorld &World, size_t Index, bool ByReport, int64_t Sequence) {
+  std::string Host = "10.0.0." + std::to_string(Index + 1);
+  World.Servers.ByHost[Host].Healthy = false;
+  auto Acked = std::make_shared<bool>(false);
+  auto Acknowledge = [Acked] { *Acked = true; };
+  if (ByReport)
+    World.Daemons[Index].Registry->report(World.reportOf(Index, Sequence, true),
+                                          Acknowledge);
+  else
+    World.Daemons[Index].Registry->leave("i-" + std::to_string(Index + 1), 1000,
+                                         Acknowledge);
+  World.Time.advance(900ms);
+  REQUIRE(*Acked);
+}
+
+} // namespace
+
 TEST_CASE("no request reaches a server after its leave was acknowledged") {
   MeshWorld World(2);
   World.Servers.ByHost["10.0.0.1"].Work = 300ms;
@@ -212,3 +238,142 @@
   World.Time.advance(900ms);
   CHECK(*Acked);
 }
+
+// Guards against DRAIN after a restart: a departure was acknowledged in an
+// outage of the platform, so its record was not written, and the next process
+// took a delayed report for new.
+TEST_CASE(
+    "a departure that was acknowledged in an outage of the platform binds "
+    "the next process") {
+  bool ByReport = GENERATE(false, true);
+  bool PeersTell = GENERATE(false, true);
+  StoreReturns Returns = GENERATE(
+      StoreReturns::BeforeStart, StoreReturns::AfterStart, StoreReturns::Never);
+  Duration Delay = GENERATE(Duration(10ms), 900ms, 3s, 8s);
+  MeshWorld World(2);
+  World.report(0, 2);
+  MeshEndpoint Stored = *World.Daemons[0].State->directory().find("i-1");
+  World.StoreAnswers = false;
+  leave(World, 0, ByReport, 9);
+  World.kill(0);
+  World.Time.advance(500ms);
+  World.PeersTell = PeersTell;
+  World.EndpointsListed = Returns == StoreReturns::BeforeStart;
+  World.StoreAnswers = World.EndpointsListed;
+  if (World.EndpointsListed)
+    World.StoredRecords = {Stored};
+  int Before = runsOn(World, "10.0.0.1");
+  World.restart(0);
+  MeshWorld::Daemon &Restarted = World.Daemons[0];
+  TimePoint StartedAt = World.Time.now();
+  bool Reported = false;
+  while (World.Time.now() - StartedAt < 14s) {
+    Duration Since = World.Time.now() - StartedAt;
+    if (Returns == StoreReturns::AfterStart && Since >= 2s &&
+        !Restarted.State->endpointsListed()) {
+      World.StoreAnswers = true;
+      Restarted.State->merge(Stored);
+      Restarted.State->setEndpointsListed();
+    }
+    if (!Reported && Since >= Delay) {
+      Reported = true;
+      World.report(0, 8); // Sent before the departure.
+    }
+    World.request("/read/1", 0);
+    World.request("/read/1", 1);
+    World.Time.advance(50ms);
+  }
+  CHECK(runsOn(World, "10.0.0.1") == Before);
+  CHECK(runsOn(World, "10.0.0.2") > 0);
+  if (PeersTell && Returns == StoreReturns::BeforeStart) {
+    // What only peers knew is written to the platform.
+    std::optional<MeshEndpoint> Written = parseEndpoint(World.Published["i-1"]);
+    REQUIRE(Written);
+    CHECK(Written->leaves());
+  }
+}
+
+TEST_CASE("a server that keeps running while its daemon restarts is used after "
+          "one health check, also if only its report names it") {
+  bool Recorded = GENERATE(false, true);
+  MeshWorld World(2);
+  MeshEndpoint Stored = *World.Daemons[0].State->directory().find("i-1");
+  World.kill(0);
+  World.PeersTell = false;
+  if (Recorded)
+    World.StoredRecords = {Stored};
+  World.restart(0);
+  World.report(0, 2);
+  World.Time.advance(50ms);
+  CHECK(World.Daemons[0].State->directory().ready("quote").size() == 1);
+  CHECK(World.Servers.HealthChecks == 1);
+  World.report(0, 3);
+  World.Time.advance(2s);
+  CHECK(World.Servers.HealthChecks == 1);
+}
+
+TEST_CASE("a server whose health checks fail is used when it reports longer "
+          "after the restart than a report can be delayed") {
+  MeshWorld World(1);
+  World.kill(0);
+  World.Servers.ByHost["10.0.0.1"].Healthy = false;
+  World.restart(0);
+  int64_t Sequence = 2;
+  for (TimePoint End = World.Time.now() + 9s; World.Time.now() < End;) {
+    World.report(0, ++Sequence);
+    World.Time.advance(1500ms);
+    CHECK(World.Daemons[0].State->directory().ready("quote").empty());
+  }
+  World.report(0, ++Sequence);
+  World.Time.advance(1500ms);
+  World.report(0, ++Sequence);
+  CHECK(World.Daemons[0].State->directory().ready("quote").size() == 1);
+}
+
+TEST_CASE(
+    "a deregistration that arrives before the records are read holds when "
+    "they are") {
+  MeshWorld World(1);
+  MeshEndpoint Stored = *World.Daemons[0].State->directory().find("i-1");
+  World.kill(0);
+  World.EndpointsListed = false;
+  World.PeersTell = false;
+  World.restart(0);
+  bool Acked = false;
+  World.Daemons[0].Registry->leave("i-1", 1000, [&Acked] { Acked = true; });
+  CHECK(Acked);
+  World.Time.advance(12s);
+  World.Daemons[0].State->merge(Stored);
+  World.Daemons[0].State->setEndpointsListed();
+  World.Time.advance(1s);
+  CHECK(World.Daemons[0].State->directory().ready("quote").empty());
+  std::optional<MeshEndpoint> Written = parseEndpoint(World.Published["i-1"]);
+  REQUIRE(Written);
+  CHECK(Written->State == EndpointState::Gone);
+}
+
+TEST_CASE(
+    "a process that alone knows of a departure says so until it is stored "
+    "or a peer was told") {
+  bool HasPeer = GENERATE(false, true);
+  MeshWorld World(HasPeer ? 2 : 1);
+  CHECK_FALSE(World.Daemons[0].Registry->holdsOnlyCopy());
+  World.StoreAnswers = false;
+  leave(World, 0, /*ByReport=*/false, 0);
+  CHECK(World.Daemons[0].Registry->holdsOnlyCopy() == !HasPeer);
+}
+
+// Guards against an acknowledgement of a repeated departure whose record is
+// still being written.
+TEST_CASE("a repeated departure is acknowledged no sooner than the first") {
+  MeshWorld World(1);
+  World.StoreAnswers = false;
+  for (int I = 0; I < 2; ++I) {
+    auto Acked = std::make_shared<bool>(false);
+    World.Daemons[0].Registry->leave("i-1", 1000, [Acked] { *Acked = true; });
+    World.Time.advance(500ms);
+    CHECK_FALSE(*Acked);
+    World.Time.advance(200ms);
+    CHECK(*Acked);
+  }
+}
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -663,3 +663,60 @@
   for (const auto &Each : Fleet)
     CHECK(Each->State->routes()->config().Version == 2);
 }
+
+// Guards against a departure that counts as stored because an earlier record of
+// the server was.
+TEST_CASE("a departure counts as stored only when its own record is") {
+  StoreWorld World;
+  auto One = World.daemon("10.0.0.1");
+  World.Time.advance(100ms);
+  One->Store->publish(server("i-1", 1), [](bool) {});
+  One->Store->publish(server("i-1", 2, EndpointState::Gone), [](bool) {});
+  CHECK(One->Store->unwrittenDepartures() == 1);
+  World.Time.advance(1ms); // The first write is under way.
+  World.Platform.setSilent(true);
+  World.Time.advance(2s);
+  int Stored = 0;
+  One->Store->publish(server("i-1", 2, EndpointState::Gone),
+                      [&Stored](bool) { ++Stored; });
+  CHECK(Stored == 0);
+  CHECK(One->Store->unwrittenDepartures() == 1);
+  World.Platform.setSilent(false);
+  World.Time.advance(5s);
+  CHECK(Stored == 1);
+  CHECK(One->Store->unwrittenDepartures() == 0);
+  Result<PlatformObject, PlatformError> Read =
+      World.Platform.Store.read("endpoints/i-1");
+  REQUIRE(Read);
+  CHECK(parseEndpoint(Read.value().Value)->State == EndpointState::Gone);
+}
+
+// Guards against a departure that peers know of and a restarted daemon does not
+// hear of, because it reads an older record from the platform.
+TEST_CASE("a restarted daemon asks a few peers for the records of its servers "
+          "while the platform answers") {
+  StoreWorld World;
+  auto Fleet = World.fleet(9);
+  World.operatorWrites("config/main", configText(1));
+  World.Time.advance(5s);
+  MeshEndpoint Departure = server("i-1", 7, EndpointState::Gone);
+  for (size_t I = 1; I < Fleet.size(); ++I)
+    Fleet[I]->State->merge(Departure);
+  Fleet[0].reset();
+  World.Time.advance(1s);
+  size_t Pulls = 0;
+  size_t ReplyBytes = 0;
+  World.Network.OnStream = [&](const Address &, const Address &To,
+                               FrameType Type, const std::string &Payload) {
+    Pulls += Type == FrameType::StatePull ? 1 : 0;
+    if (Type == FrameType::StateReply && To.Host == "10.0.0.1")
+      ReplyBytes += Payload.size();
+  };
+  Fleet[0] = World.daemon("10.0.0.1");
+  World.Time.advance(1s);
+  REQUIRE(Fleet[0]->State->directory().find("i-1"));
+  CHECK(Fleet[0]->State->directory().find("i-1")->State == EndpointState::Gone);
+  World.Time.advance(15s);
+  CHECK(Pulls == 3);
+  CHECK(ReplyBytes < 3 * 200);
+}
