--- a/cyclamenwind/mesh/admission_queue.cpp
+++ b/cyclamenwind/mesh/admission_queue.cpp
@@ -40,8 +40,10 @@
 }
 
 TimePoint AdmissionQueue::latestStart(const QueuedRequest &Request) const {
-  return std::min(Request.Objective, Request.Deadline) -
-         expectedTime(Request.Route);
+  TimePoint EndBy = std::min(Request.Objective, Request.Deadline);
+  if (Request.AnswerBy)
+    EndBy = std::min(EndBy, *Request.AnswerBy);
+  return EndBy - expectedTime(Request.Route);
 }
 
 int AdmissionQueue::patience(const QueuedRequest &Request,
@@ -111,6 +113,11 @@
 
 QueueDecision AdmissionQueue::offer(const QueuedRequest &Request,
                                     TimePoint Now) {
+  if (Request.AnswerBy &&
+      Now + expectedTime(Request.Route) > *Request.AnswerBy) {
+    countOffer(Request.Route, false);
+    return QueueDecision::Refused;
+  }
   if (running() < Slots && Order.empty() && takeRate(Now)) {
     Running[Request.Handle] = {Request.Route, Now};
     countOffer(Request.Route, true);
@@ -165,6 +172,36 @@
   return Actions;
 }
 
+QueueActions AdmissionQueue::limitAnswer(RequestHandle Handle,
+                                         TimePoint AnswerBy, TimePoint Now) {
+  QueueActions Actions;
+  auto Found = Queue.find(Handle);
+  if (Found == Queue.end())
+    return Actions;
+  Waiting Entry = Found->second;
+  withdraw(Handle);
+  Entry.Request.AnswerBy =
+      std::min(AnswerBy, Entry.Request.AnswerBy.value_or(AnswerBy));
+  if (Now + waitAt(Entry.Position, Now) > latestStart(Entry.Request)) {
+    Actions.Expired.push_back(Handle);
+    return Actions;
+  }
+  Order.insert({Entry.Position, Handle});
+  Queue[Handle] = std::move(Entry);
+  return Actions;
+}
+
+QueueActions AdmissionQueue::limitAnswers(TimePoint AnswerBy, TimePoint Now) {
+  std::vector<RequestHandle> Handles;
+  for (const auto &[Position, Handle] : Order)
+    Handles.push_back(Handle);
+  QueueActions Actions;
+  for (RequestHandle Handle : Handles)
+    for (RequestHandle Expired : limitAnswer(Handle, AnswerBy, Now).Expired)
+      Actions.Expired.push_back(Expired);
+  return Actions;
+}
+
 bool AdmissionQueue::withdraw(RequestHandle Handle) {
   auto Found = Queue.find(Handle);
   if (Found == Queue.end())
--- a/cyclamenwind/mesh/admission_queue.h
+++ b/cyclamenwind/mesh/admission_queue.h
@@ -15,7 +15,9 @@
 // (StarvedShare) is placed among the nested requests until its rate has
 // recovered, so that no route starves. A request that cannot end in time is
 // refused when it is offered; a waiting request that can no longer end in time
-// is refused by expire() or when its turn comes.
+// is refused by expire() or when its turn comes. While a daemon on a request's
+// way stops, a request that is not expected to end before that is refused as
+// well, also if a slot is free.
 //
 // Exponential moving averages over completed requests, one per route and one of
 // all routes, estimate the time that a request takes. Does no I/O and reads no
@@ -48,6 +50,9 @@
   int Priority = 0;
   TimePoint Objective; // A response after this is of little use.
   TimePoint Deadline;  // The caller stops waiting at this time.
+  // A response after this cannot be passed on, because a daemon on its way
+  // stops.
+  std::optional<TimePoint> AnswerBy = std::nullopt;
 };
 
 // What the inbound proxy has to do after the queue has changed: run some
@@ -80,6 +85,15 @@
   void limitRate(std::optional<double> PerSecond, TimePoint Now);
   std::optional<double> rateLimit() const { return RateLimit; }
 
+  // Sets AnswerBy of a waiting request, unless it is earlier already. Removes
+  // and returns the request, as expired, if it is no longer expected to end in
+  // time.
+  QueueActions limitAnswer(RequestHandle Handle, TimePoint AnswerBy,
+                           TimePoint Now);
+
+  // The same for all waiting requests, in the order in which they would run.
+  QueueActions limitAnswers(TimePoint AnswerBy, TimePoint Now);
+
   // Removes a waiting request. Returns whether it was waiting.
   bool withdraw(RequestHandle Handle);
 
--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -90,6 +90,10 @@
                 [this](const Address &From, std::string_view Payload) {
                   receiveCancel(From, Payload);
                 });
+  Peers->handle(FrameType::ForwardLimit,
+                [this](const Address &From, std::string_view Payload) {
+                  receiveLimit(From, Payload);
+                });
   Peers->onPeerDisconnect([this](const Address &Peer, PeerDisconnect Reason) {
     peerDisconnected(Peer, Reason);
   });
@@ -220,7 +224,12 @@
                          NewRequest.Message.nested,
                          NewRequest.Message.priority,
                          Now + Duration(NewRequest.Message.objectiveUs),
-                         NewRequest.Deadline};
+                         NewRequest.Deadline,
+                         AnswersEndAt};
+    if (NewRequest.Message.__isset.answerWithinUs) {
+      TimePoint Limit = Now + Duration(NewRequest.Message.answerWithinUs);
+      Queued.AnswerBy = std::min(Limit, Queued.AnswerBy.value_or(Limit));
+    }
     QueueDecision Decision = Target->Queue.offer(Queued, Now);
     if (Decision == QueueDecision::Run)
       run(Handle);
@@ -394,6 +403,36 @@
       Now - Ended.Started);
 }
 
+void InboundProxy::limitAnswer(RequestHandle Handle, TimePoint AnswerBy) {
+  auto Found = Requests.find(Handle);
+  if (Found == Requests.end())
+    return;
+  auto Target = LocalServers.find(Found->second.InstanceId);
+  if (Target != LocalServers.end())
+    applyQueueActions(
+        Target->second.Queue.limitAnswer(Handle, AnswerBy, Time->now()));
+}
+
+void InboundProxy::answerBy(TimePoint EndsAt) {
+  AnswersEndAt = EndsAt;
+  for (auto &[Id, Local] : LocalServers)
+    applyQueueActions(Local.Queue.limitAnswers(EndsAt, Time->now()));
+}
+
+void InboundProxy::endAll() {
+  refuseNew();
+  for (auto &[Id, Local] : LocalServers)
+    for (RequestHandle Handle : Local.Queue.withdrawAll())
+      refuse(Handle, ForwardError::Stopping, /*ReachedServer=*/false);
+  std::vector<RequestHandle> Running;
+  for (const auto &[Handle, Entry] : Requests)
+    if (Entry.Started != TimePoint())
+      Running.push_back(Handle);
+  for (RequestHandle Handle : Running)
+    finish(Handle, makeReply(wire::ForwardOutcome::UNKNOWN,
+                             ForwardError::Stopping, /*ReachedServer=*/true));
+}
+
 void InboundProxy::applyQueueActions(const QueueActions &Actions) {
   for (RequestHandle Handle : Actions.Expired)
     refuse(Handle, ForwardError::Expired, /*ReachedServer=*/false);
@@ -520,6 +559,19 @@
   cancel(Handle);
 }
 
+void InboundProxy::receiveLimit(const Address &From, std::string_view Payload) {
+  Result<wire::ForwardLimit, FrameError> Message =
+      decodeMessage<wire::ForwardLimit>(Payload);
+  if (!Message) {
+    logWarning("frame_malformed", {{"peer", From.text()}});
+    return;
+  }
+  auto Found = FromPeers.find({From, Message.value().id});
+  if (Found != FromPeers.end())
+    limitAnswer(Found->second,
+                Time->now() + Duration(Message.value().answerWithinUs));
+}
+
 // Cancels the peer's idempotent requests unless it reconnects within
 // PeerReconnectGrace: if it has crashed, nobody waits for the responses.
 void InboundProxy::peerDisconnected(const Address &Peer,
--- a/cyclamenwind/mesh/inbound_proxy.h
+++ b/cyclamenwind/mesh/inbound_proxy.h
@@ -12,6 +12,11 @@
 // senders hear of both with each reply and pass the limit on with each request,
 // so that a restarted daemon knows it before the server's first response.
 //
+// When this daemon or the sender stops, no response can be passed on after a
+// known time. Requests that are not expected to end before it are refused as
+// soon as that is known, and what still waits or runs at the time is answered:
+// a request that did not run, as not run, so that it can be sent elsewhere.
+//
 // Requests come from the outbound proxies of peers and of this daemon. When the
 // sender cancels a request, the inbound proxy closes the connection on which
 // the server runs it.
@@ -91,6 +96,19 @@
   // Cancels a request; its OnDone is not called afterwards.
   void cancel(RequestHandle Handle);
 
+  // Tells that the sender of a request can pass on a response only until
+  // AnswerBy. The request goes on if it runs, and is refused if it waits and is
+  // not expected to end before.
+  void limitAnswer(RequestHandle Handle, TimePoint AnswerBy);
+
+  // This daemon stops and can send responses only until Time: applies it to all
+  // requests, also those submitted from now on.
+  void answerBy(TimePoint Time);
+
+  // Refuses all requests that wait, and ends those that run with an unknown
+  // outcome. Their OnDone is called.
+  void endAll();
+
   // Refuses requests submitted from now on. Running and queued requests go on.
   void refuseNew() { Stopping = true; }
 
@@ -143,6 +161,7 @@
 
   void receiveRequest(const Address &From, std::string_view Payload);
   void receiveCancel(const Address &From, std::string_view Payload);
+  void receiveLimit(const Address &From, std::string_view Payload);
   void peerDisconnected(const Address &Peer, PeerDisconnect Reason);
   void cancelRequestsOf(const Address &Peer);
   void eraseGoneServers(const std::string &Except);
@@ -182,6 +201,7 @@
   std::map<RequestHandle, std::unique_ptr<HttpCall>> HealthChecks;
   RequestHandle NextHandle = 1;
   bool Stopping = false;
+  std::optional<TimePoint> AnswersEndAt; // Set by answerBy().
   TimerHandle ExpiryTimer;
 };
 
--- a/cyclamenwind/mesh/mesh_daemon.cpp
+++ b/cyclamenwind/mesh/mesh_daemon.cpp
@@ -27,7 +27,9 @@
 // keeps serving them until then, and also runs requests that they send before
 // they receive the message.
 constexpr Duration ServeWhileStopping = 1600ms;
-// Running requests are aborted this long before the process would be killed.
+// All requests are answered this long before the process would be killed, and
+// the process ends StopMargin before that. In between, responses are sent.
+constexpr Duration AnswerMargin = 600ms;
 constexpr Duration StopMargin = 400ms;
 // The body of one request may take MemoryBytes / BodyMemoryDivisor.
 constexpr size_t BodyMemoryDivisor = 16;
@@ -241,6 +243,9 @@
   logInfo("daemon_draining",
           {{"requests", Services.find<OutboundProxy>("forwarder").active()}});
   CallerServer->drain(/*CloseIdle=*/false);
+  TimePoint AnswersEndAt = *StopRequestedAt + Settings.StopLimit - AnswerMargin;
+  Services.find<InboundProxy>("gate").answerBy(AnswersEndAt);
+  Services.find<OutboundProxy>("forwarder").answerBy(AnswersEndAt);
   StopTimer = TheLoop.every(StopCheckPeriod, [this] { checkDrained(); });
 }
 
@@ -250,6 +255,15 @@
          CallerServer->unfinished() + (Peers->unsentBytes() > 0 ? 1 : 0);
 }
 
+void MeshDaemon::stopAccepting() {
+  if (AcceptingStopped)
+    return;
+  AcceptingStopped = true;
+  CallerServer->stopAccepting();
+  CallerServer->stopReading();
+  Services.find<InboundProxy>("gate").refuseNew();
+}
+
 void MeshDaemon::checkDrained() {
   TimePoint Now = TheLoop.now();
   Duration StoppingFor = Now - *StopRequestedAt;
@@ -259,18 +273,20 @@
     TheLoop.stop();
     return;
   }
+  if (StoppingFor >= Settings.StopLimit - AnswerMargin && !AllAnswered) {
+    AllAnswered = true;
+    logInfo("daemon_ends_requests", {{"requests", unfinished()}});
+    stopAccepting();
+    Services.find<InboundProxy>("gate").endAll();
+    Services.find<OutboundProxy>("forwarder").answerAll();
+  }
   if (StoppingFor >= ServeWhileStopping && !StopAnnounced) {
     StopAnnounced = true;
     Services.find<LocalServerRegistry>("registry").announceStopping();
   }
-  if (StoppingFor < AcceptWhileStopping)
+  if (StoppingFor < AcceptWhileStopping && !AllAnswered)
     return;
-  if (!AcceptingStopped) {
-    AcceptingStopped = true;
-    CallerServer->stopAccepting();
-    CallerServer->stopReading();
-    Services.find<InboundProxy>("gate").refuseNew();
-  }
+  stopAccepting();
   if (unfinished() > 0 ||
       Services.find<LocalServerRegistry>("registry").holdsOnlyCopy())
     return;
--- a/cyclamenwind/mesh/mesh_daemon.h
+++ b/cyclamenwind/mesh/mesh_daemon.h
@@ -44,9 +44,11 @@
   // Binds all addresses and starts. Returns the address that is in use, if any.
   std::optional<Address> start();
 
-  // Stops gracefully: fails readiness probes, notifies peers, finishes running
-  // requests, and stops the loop when none is left, and no departure of a
-  // server is known to this process alone, or StopMargin before the stop limit.
+  // Stops gracefully: fails readiness probes, notifies peers, refuses requests
+  // that cannot end before the stop limit and finishes the others. AnswerMargin
+  // before the stop limit, requests without an answer get one. Stops the loop
+  // when no request is left and no departure of a server is known to this
+  // process alone, or StopMargin before the stop limit.
   void shutdown();
 
   // Compares the addresses in Changed with those in use and logs whether a
@@ -61,6 +63,7 @@
   void answerMetrics(const ExchangePtr &Exchange);
   void applyLimits();
   void checkDrained();
+  void stopAccepting();
   size_t unfinished();
 
   Loop &TheLoop;
@@ -76,7 +79,8 @@
   std::unique_ptr<PipelineServer> MetricsServer;
   std::optional<TimePoint> StopRequestedAt;
   bool StopAnnounced = false;    // Peers were told that this daemon stops.
-  bool AcceptingStopped = false; // New connections of callers are not accepted.
+  bool AcceptingStopped = false; // New requests are neither read nor accepted.
+  bool AllAnswered = false;      // No request waits for a response any more.
   TimerHandle StopTimer;
 };
 
--- a/cyclamenwind/mesh/outbound_proxy.cpp
+++ b/cyclamenwind/mesh/outbound_proxy.cpp
@@ -11,6 +11,8 @@
 // The caller is answered this long before its deadline or the route's timeout,
 // so that the response arrives in time.
 constexpr Duration ReplyMargin = 15ms;
+// Time for a response to come back from another daemon.
+constexpr Duration ReturnMargin = 50ms;
 // Number of refusals before a server was reached that are retried; the next one
 // is passed on to the caller.
 constexpr int MaxRefusals = 3;
@@ -234,6 +236,8 @@
   Message.nested = TheCall.Nested;
   Message.route = TheCall.Route->Name;
   Message.configRevision = static_cast<int64_t>(TheCall.Table->revision());
+  if (AnswersEndAt)
+    Message.__set_answerWithinUs((*AnswersEndAt - ReturnMargin - Now).count());
   if (std::optional<double> Limit = Balancer->rateLimit(Target, Now)) {
     Message.__set_knownRateLimit(*Limit);
     Message.knownLimitBorn = Target.StartedAtMs;
@@ -319,7 +323,7 @@
 
 bool OutboundProxy::mayRetry(const Call &TheCall, bool ReachedServer,
                              bool Executed, TimePoint Now) {
-  if (Now >= TheCall.ReplyBy)
+  if (Now >= TheCall.ReplyBy || (AnswersEndAt && Now >= *AnswersEndAt))
     return false;
   if (!ReachedServer)
     return TheCall.Refusals <= MaxRefusals;
@@ -394,6 +398,49 @@
   finishUnserved(Id);
 }
 
+void OutboundProxy::answerBy(TimePoint EndsAt) {
+  AnswersEndAt = EndsAt;
+  TimePoint Limit = EndsAt - ReturnMargin;
+  std::vector<uint64_t> Numbers;
+  for (const auto &[Number, TheAttempt] : Attempts)
+    Numbers.push_back(Number);
+  // A local request may be refused, and sent elsewhere, in this loop.
+  for (uint64_t Number : Numbers) {
+    auto Found = Attempts.find(Number);
+    if (Found == Attempts.end())
+      continue;
+    if (Found->second.LocalHandle != 0) {
+      Inbound->limitAnswer(Found->second.LocalHandle, Limit);
+      continue;
+    }
+    wire::ForwardLimit Message;
+    Message.id = static_cast<int64_t>(Number);
+    Message.answerWithinUs = (Limit - Time->now()).count();
+    Peers->sendMessage(Found->second.DaemonAddress, FrameType::ForwardLimit,
+                       Message);
+  }
+}
+
+void OutboundProxy::answerAll() {
+  AnswersEndAt = Time->now();
+  std::vector<uint64_t> Ids;
+  for (const auto &[Id, TheCall] : Calls)
+    Ids.push_back(Id);
+  for (uint64_t Id : Ids) {
+    auto Found = Calls.find(Id);
+    if (Found == Calls.end())
+      continue;
+    Call &TheCall = Found->second;
+    for (uint64_t Number : TheCall.Attempts)
+      Attempts.erase(Number);
+    if (!TheCall.Attempts.empty())
+      TheCall.MayHaveRun = true;
+    TheCall.Attempts.clear();
+    TheCall.LastError = ForwardError::Stopping;
+    finishUnserved(Id);
+  }
+}
+
 void OutboundProxy::onCallerDisconnected(uint64_t Id) {
   auto Found = Calls.find(Id);
   if (Found == Calls.end())
--- a/cyclamenwind/mesh/outbound_proxy.h
+++ b/cyclamenwind/mesh/outbound_proxy.h
@@ -11,7 +11,8 @@
 //
 // The caller of a routed request gets the server's response, 503 if no server
 // has run the request, or 502 or 504 if a server may have run it. It gets this
-// response within the route's timeout and before its own deadline.
+// response within the route's timeout and before its own deadline, and before
+// this daemon stops.
 
 #ifndef CYCLAMENWIND_MESH_OUTBOUND_PROXY_H
 #define CYCLAMENWIND_MESH_OUTBOUND_PROXY_H
@@ -48,6 +49,15 @@
   // Number of requests that have not been answered yet.
   size_t active() const { return Calls.size(); }
 
+  // This daemon stops and can answer callers only until Time: tells the daemons
+  // that requests were or will be sent to, which refuse what is not expected to
+  // end before.
+  void answerBy(TimePoint Time);
+
+  // Answers all requests without an answer: 502 if a server may have run them.
+  // Requests that run are not cancelled.
+  void answerAll();
+
   RetryBudget &retryBudget() { return Budget; }
   MeshBalancer &balancer() { return *Balancer; }
 
@@ -125,6 +135,7 @@
   std::map<uint64_t, Call> Calls;
   std::map<uint64_t, Attempt> Attempts;
   ResponseSizes Sizes;
+  std::optional<TimePoint> AnswersEndAt; // Set by answerBy().
   uint64_t NextCall = 1;
   // Starts at a random number, so that a reply meant for an earlier process of
   // this daemon does not match an attempt.
--- a/cyclamenwind/peer/frame.h
+++ b/cyclamenwind/peer/frame.h
@@ -59,6 +59,7 @@
   VersionEvidence = 56,
   RolloutAnnounce = 57,
   ConfigPush = 58,
+  ForwardLimit = 59,
 };
 
 // Large enough for a body of the maximum size and its headers.
--- a/cyclamenwind/wire/gen-cpp/mesh_types.cpp
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.cpp
@@ -152,6 +152,11 @@
 void ForwardRequest::__set_knownLimitBorn(const int64_t val) {
   this->knownLimitBorn = val;
 }
+
+void ForwardRequest::__set_answerWithinUs(const int64_t val) {
+  this->answerWithinUs = val;
+__isset.answerWithinUs = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -336,6 +341,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answerWithinUs);
+          this->__isset.answerWithinUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -434,6 +447,11 @@
   xfer += oprot->writeI64(this->knownLimitBorn);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.answerWithinUs) {
+    xfer += oprot->writeFieldBegin("answerWithinUs", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->answerWithinUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -459,6 +477,7 @@
   swap(a.configRevision, b.configRevision);
   swap(a.knownRateLimit, b.knownRateLimit);
   swap(a.knownLimitBorn, b.knownLimitBorn);
+  swap(a.answerWithinUs, b.answerWithinUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -481,6 +500,7 @@
   configRevision = other6.configRevision;
   knownRateLimit = other6.knownRateLimit;
   knownLimitBorn = other6.knownLimitBorn;
+  answerWithinUs = other6.answerWithinUs;
   __isset = other6.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other7) noexcept {
@@ -502,6 +522,7 @@
   configRevision = other7.configRevision;
   knownRateLimit = other7.knownRateLimit;
   knownLimitBorn = other7.knownLimitBorn;
+  answerWithinUs = other7.answerWithinUs;
   __isset = other7.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other8) {
@@ -523,6 +544,7 @@
   configRevision = other8.configRevision;
   knownRateLimit = other8.knownRateLimit;
   knownLimitBorn = other8.knownLimitBorn;
+  answerWithinUs = other8.answerWithinUs;
   __isset = other8.__isset;
   return *this;
 }
@@ -545,6 +567,7 @@
   configRevision = other9.configRevision;
   knownRateLimit = other9.knownRateLimit;
   knownLimitBorn = other9.knownLimitBorn;
+  answerWithinUs = other9.answerWithinUs;
   __isset = other9.__isset;
   return *this;
 }
@@ -569,6 +592,7 @@
   out << ", " << "configRevision=" << to_string(configRevision);
   out << ", " << "knownRateLimit="; (__isset.knownRateLimit ? (out << to_string(knownRateLimit)) : (out << "<null>"));
   out << ", " << "knownLimitBorn=" << to_string(knownLimitBorn);
+  out << ", " << "answerWithinUs="; (__isset.answerWithinUs ? (out << to_string(answerWithinUs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1173,6 +1197,129 @@
 }
 
 
+ForwardLimit::~ForwardLimit() noexcept {
+}
+
+
+void ForwardLimit::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void ForwardLimit::__set_answerWithinUs(const int64_t val) {
+  this->answerWithinUs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answerWithinUs);
+          this->__isset.answerWithinUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardLimit");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answerWithinUs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->answerWithinUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardLimit &a, ForwardLimit &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.answerWithinUs, b.answerWithinUs);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardLimit::ForwardLimit(const ForwardLimit& other25) noexcept {
+  id = other25.id;
+  answerWithinUs = other25.answerWithinUs;
+  __isset = other25.__isset;
+}
+ForwardLimit::ForwardLimit(ForwardLimit&& other26) noexcept {
+  id = other26.id;
+  answerWithinUs = other26.answerWithinUs;
+  __isset = other26.__isset;
+}
+ForwardLimit& ForwardLimit::operator=(const ForwardLimit& other27) noexcept {
+  id = other27.id;
+  answerWithinUs = other27.answerWithinUs;
+  __isset = other27.__isset;
+  return *this;
+}
+ForwardLimit& ForwardLimit::operator=(ForwardLimit&& other28) noexcept {
+  id = other28.id;
+  answerWithinUs = other28.answerWithinUs;
+  __isset = other28.__isset;
+  return *this;
+}
+void ForwardLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardLimit(";
+  out << "id=" << to_string(id);
+  out << ", " << "answerWithinUs=" << to_string(answerWithinUs);
+  out << ")";
+}
+
+
 EndpointRecord::~EndpointRecord() noexcept {
 }
 
@@ -1401,58 +1548,58 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other25) {
-  id = other25.id;
-  serviceName = other25.serviceName;
-  serverVersion = other25.serverVersion;
-  failureDomain = other25.failureDomain;
-  gateAddress = other25.gateAddress;
-  state = other25.state;
-  slots = other25.slots;
-  born = other25.born;
-  sequence = other25.sequence;
-  serverAddress = other25.serverAddress;
-  __isset = other25.__isset;
-}
-EndpointRecord::EndpointRecord(EndpointRecord&& other26) noexcept {
-  id = std::move(other26.id);
-  serviceName = std::move(other26.serviceName);
-  serverVersion = std::move(other26.serverVersion);
-  failureDomain = std::move(other26.failureDomain);
-  gateAddress = std::move(other26.gateAddress);
-  state = std::move(other26.state);
-  slots = other26.slots;
-  born = other26.born;
-  sequence = other26.sequence;
-  serverAddress = std::move(other26.serverAddress);
-  __isset = other26.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other27) {
-  id = other27.id;
-  serviceName = other27.serviceName;
-  serverVersion = other27.serverVersion;
-  failureDomain = other27.failureDomain;
-  gateAddress = other27.gateAddress;
-  state = other27.state;
-  slots = other27.slots;
-  born = other27.born;
-  sequence = other27.sequence;
-  serverAddress = other27.serverAddress;
-  __isset = other27.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other29) {
+  id = other29.id;
+  serviceName = other29.serviceName;
+  serverVersion = other29.serverVersion;
+  failureDomain = other29.failureDomain;
+  gateAddress = other29.gateAddress;
+  state = other29.state;
+  slots = other29.slots;
+  born = other29.born;
+  sequence = other29.sequence;
+  serverAddress = other29.serverAddress;
+  __isset = other29.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other30) noexcept {
+  id = std::move(other30.id);
+  serviceName = std::move(other30.serviceName);
+  serverVersion = std::move(other30.serverVersion);
+  failureDomain = std::move(other30.failureDomain);
+  gateAddress = std::move(other30.gateAddress);
+  state = std::move(other30.state);
+  slots = other30.slots;
+  born = other30.born;
+  sequence = other30.sequence;
+  serverAddress = std::move(other30.serverAddress);
+  __isset = other30.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other31) {
+  id = other31.id;
+  serviceName = other31.serviceName;
+  serverVersion = other31.serverVersion;
+  failureDomain = other31.failureDomain;
+  gateAddress = other31.gateAddress;
+  state = other31.state;
+  slots = other31.slots;
+  born = other31.born;
+  sequence = other31.sequence;
+  serverAddress = other31.serverAddress;
+  __isset = other31.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other28) noexcept {
-  id = std::move(other28.id);
-  serviceName = std::move(other28.serviceName);
-  serverVersion = std::move(other28.serverVersion);
-  failureDomain = std::move(other28.failureDomain);
-  gateAddress = std::move(other28.gateAddress);
-  state = std::move(other28.state);
-  slots = other28.slots;
-  born = other28.born;
-  sequence = other28.sequence;
-  serverAddress = std::move(other28.serverAddress);
-  __isset = other28.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other32) noexcept {
+  id = std::move(other32.id);
+  serviceName = std::move(other32.serviceName);
+  serverVersion = std::move(other32.serverVersion);
+  failureDomain = std::move(other32.failureDomain);
+  gateAddress = std::move(other32.gateAddress);
+  state = std::move(other32.state);
+  slots = other32.slots;
+  born = other32.born;
+  sequence = other32.sequence;
+  serverAddress = std::move(other32.serverAddress);
+  __isset = other32.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -1511,14 +1658,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->endpoints.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->endpoints.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->endpoints[_i33].read(iprot);
+              xfer += this->endpoints[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1547,10 +1694,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter34;
-    for (_iter34 = this->endpoints.begin(); _iter34 != this->endpoints.end(); ++_iter34)
+    std::vector<EndpointRecord> ::const_iterator _iter38;
+    for (_iter38 = this->endpoints.begin(); _iter38 != this->endpoints.end(); ++_iter38)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1567,22 +1714,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointAnnounce::EndpointAnnounce(const EndpointAnnounce& other35) {
-  endpoints = other35.endpoints;
-  __isset = other35.__isset;
+EndpointAnnounce::EndpointAnnounce(const EndpointAnnounce& other39) {
+  endpoints = other39.endpoints;
+  __isset = other39.__isset;
 }
-EndpointAnnounce::EndpointAnnounce(EndpointAnnounce&& other36) noexcept {
-  endpoints = std::move(other36.endpoints);
-  __isset = other36.__isset;
+EndpointAnnounce::EndpointAnnounce(EndpointAnnounce&& other40) noexcept {
+  endpoints = std::move(other40.endpoints);
+  __isset = other40.__isset;
 }
-EndpointAnnounce& EndpointAnnounce::operator=(const EndpointAnnounce& other37) {
-  endpoints = other37.endpoints;
-  __isset = other37.__isset;
+EndpointAnnounce& EndpointAnnounce::operator=(const EndpointAnnounce& other41) {
+  endpoints = other41.endpoints;
+  __isset = other41.__isset;
   return *this;
 }
-EndpointAnnounce& EndpointAnnounce::operator=(EndpointAnnounce&& other38) noexcept {
-  endpoints = std::move(other38.endpoints);
-  __isset = other38.__isset;
+EndpointAnnounce& EndpointAnnounce::operator=(EndpointAnnounce&& other42) noexcept {
+  endpoints = std::move(other42.endpoints);
+  __isset = other42.__isset;
   return *this;
 }
 void EndpointAnnounce::printTo(std::ostream& out) const {
@@ -1685,26 +1832,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StatePull::StatePull(const StatePull& other39) noexcept {
-  configRevision = other39.configRevision;
-  ownRecordsOnly = other39.ownRecordsOnly;
-  __isset = other39.__isset;
+StatePull::StatePull(const StatePull& other43) noexcept {
+  configRevision = other43.configRevision;
+  ownRecordsOnly = other43.ownRecordsOnly;
+  __isset = other43.__isset;
 }
-StatePull::StatePull(StatePull&& other40) noexcept {
-  configRevision = other40.configRevision;
-  ownRecordsOnly = other40.ownRecordsOnly;
-  __isset = other40.__isset;
+StatePull::StatePull(StatePull&& other44) noexcept {
+  configRevision = other44.configRevision;
+  ownRecordsOnly = other44.ownRecordsOnly;
+  __isset = other44.__isset;
 }
-StatePull& StatePull::operator=(const StatePull& other41) noexcept {
-  configRevision = other41.configRevision;
-  ownRecordsOnly = other41.ownRecordsOnly;
-  __isset = other41.__isset;
+StatePull& StatePull::operator=(const StatePull& other45) noexcept {
+  configRevision = other45.configRevision;
+  ownRecordsOnly = other45.ownRecordsOnly;
+  __isset = other45.__isset;
   return *this;
 }
-StatePull& StatePull::operator=(StatePull&& other42) noexcept {
-  configRevision = other42.configRevision;
-  ownRecordsOnly = other42.ownRecordsOnly;
-  __isset = other42.__isset;
+StatePull& StatePull::operator=(StatePull&& other46) noexcept {
+  configRevision = other46.configRevision;
+  ownRecordsOnly = other46.ownRecordsOnly;
+  __isset = other46.__isset;
   return *this;
 }
 void StatePull::printTo(std::ostream& out) const {
@@ -1779,14 +1926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->endpoints.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->endpoints.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->endpoints[_i47].read(iprot);
+              xfer += this->endpoints[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1823,10 +1970,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter48;
-    for (_iter48 = this->endpoints.begin(); _iter48 != this->endpoints.end(); ++_iter48)
+    std::vector<EndpointRecord> ::const_iterator _iter52;
+    for (_iter52 = this->endpoints.begin(); _iter52 != this->endpoints.end(); ++_iter52)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1845,30 +1992,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StateReply::StateReply(const StateReply& other49) {
-  configRevision = other49.configRevision;
-  config = other49.config;
-  endpoints = other49.endpoints;
-  __isset = other49.__isset;
+StateReply::StateReply(const StateReply& other53) {
+  configRevision = other53.configRevision;
+  config = other53.config;
+  endpoints = other53.endpoints;
+  __isset = other53.__isset;
 }
-StateReply::StateReply(StateReply&& other50) noexcept {
-  configRevision = other50.configRevision;
-  config = std::move(other50.config);
-  endpoints = std::move(other50.endpoints);
-  __isset = other50.__isset;
+StateReply::StateReply(StateReply&& other54) noexcept {
+  configRevision = other54.configRevision;
+  config = std::move(other54.config);
+  endpoints = std::move(other54.endpoints);
+  __isset = other54.__isset;
 }
-StateReply& StateReply::operator=(const StateReply& other51) {
-  configRevision = other51.configRevision;
-  config = other51.config;
-  endpoints = other51.endpoints;
-  __isset = other51.__isset;
+StateReply& StateReply::operator=(const StateReply& other55) {
+  configRevision = other55.configRevision;
+  config = other55.config;
+  endpoints = other55.endpoints;
+  __isset = other55.__isset;
   return *this;
 }
-StateReply& StateReply::operator=(StateReply&& other52) noexcept {
-  configRevision = other52.configRevision;
-  config = std::move(other52.config);
-  endpoints = std::move(other52.endpoints);
-  __isset = other52.__isset;
+StateReply& StateReply::operator=(StateReply&& other56) noexcept {
+  configRevision = other56.configRevision;
+  config = std::move(other56.config);
+  endpoints = std::move(other56.endpoints);
+  __isset = other56.__isset;
   return *this;
 }
 void StateReply::printTo(std::ostream& out) const {
@@ -1954,9 +2101,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast53;
-          xfer += iprot->readI32(ecast53);
-          this->source = static_cast<RelaySource::type>(ecast53);
+          int32_t ecast57;
+          xfer += iprot->readI32(ecast57);
+          this->source = static_cast<RelaySource::type>(ecast57);
           this->__isset.source = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2009,34 +2156,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPush::ConfigPush(const ConfigPush& other54) {
-  revision = other54.revision;
-  baseRevision = other54.baseRevision;
-  patch = other54.patch;
-  source = other54.source;
-  __isset = other54.__isset;
+ConfigPush::ConfigPush(const ConfigPush& other58) {
+  revision = other58.revision;
+  baseRevision = other58.baseRevision;
+  patch = other58.patch;
+  source = other58.source;
+  __isset = other58.__isset;
 }
-ConfigPush::ConfigPush(ConfigPush&& other55) noexcept {
-  revision = other55.revision;
-  baseRevision = other55.baseRevision;
-  patch = std::move(other55.patch);
-  source = other55.source;
-  __isset = other55.__isset;
+ConfigPush::ConfigPush(ConfigPush&& other59) noexcept {
+  revision = other59.revision;
+  baseRevision = other59.baseRevision;
+  patch = std::move(other59.patch);
+  source = other59.source;
+  __isset = other59.__isset;
 }
-ConfigPush& ConfigPush::operator=(const ConfigPush& other56) {
-  revision = other56.revision;
-  baseRevision = other56.baseRevision;
-  patch = other56.patch;
-  source = other56.source;
-  __isset = other56.__isset;
+ConfigPush& ConfigPush::operator=(const ConfigPush& other60) {
+  revision = other60.revision;
+  baseRevision = other60.baseRevision;
+  patch = other60.patch;
+  source = other60.source;
+  __isset = other60.__isset;
   return *this;
 }
-ConfigPush& ConfigPush::operator=(ConfigPush&& other57) noexcept {
-  revision = other57.revision;
-  baseRevision = other57.baseRevision;
-  patch = std::move(other57.patch);
-  source = other57.source;
-  __isset = other57.__isset;
+ConfigPush& ConfigPush::operator=(ConfigPush&& other61) noexcept {
+  revision = other61.revision;
+  baseRevision = other61.baseRevision;
+  patch = std::move(other61.patch);
+  source = other61.source;
+  __isset = other61.__isset;
   return *this;
 }
 void ConfigPush::printTo(std::ostream& out) const {
@@ -2210,42 +2357,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionOutcome::VersionOutcome(const VersionOutcome& other58) {
-  serviceName = other58.serviceName;
-  serverVersion = other58.serverVersion;
-  route = other58.route;
-  answers = other58.answers;
-  failures = other58.failures;
-  totalUs = other58.totalUs;
-  __isset = other58.__isset;
-}
-VersionOutcome::VersionOutcome(VersionOutcome&& other59) noexcept {
-  serviceName = std::move(other59.serviceName);
-  serverVersion = std::move(other59.serverVersion);
-  route = std::move(other59.route);
-  answers = other59.answers;
-  failures = other59.failures;
-  totalUs = other59.totalUs;
-  __isset = other59.__isset;
-}
-VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other60) {
-  serviceName = other60.serviceName;
-  serverVersion = other60.serverVersion;
-  route = other60.route;
-  answers = other60.answers;
-  failures = other60.failures;
-  totalUs = other60.totalUs;
-  __isset = other60.__isset;
+VersionOutcome::VersionOutcome(const VersionOutcome& other62) {
+  serviceName = other62.serviceName;
+  serverVersion = other62.serverVersion;
+  route = other62.route;
+  answers = other62.answers;
+  failures = other62.failures;
+  totalUs = other62.totalUs;
+  __isset = other62.__isset;
+}
+VersionOutcome::VersionOutcome(VersionOutcome&& other63) noexcept {
+  serviceName = std::move(other63.serviceName);
+  serverVersion = std::move(other63.serverVersion);
+  route = std::move(other63.route);
+  answers = other63.answers;
+  failures = other63.failures;
+  totalUs = other63.totalUs;
+  __isset = other63.__isset;
+}
+VersionOutcome& VersionOutcome::operator=(const VersionOutcome& other64) {
+  serviceName = other64.serviceName;
+  serverVersion = other64.serverVersion;
+  route = other64.route;
+  answers = other64.answers;
+  failures = other64.failures;
+  totalUs = other64.totalUs;
+  __isset = other64.__isset;
   return *this;
 }
-VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other61) noexcept {
-  serviceName = std::move(other61.serviceName);
-  serverVersion = std::move(other61.serverVersion);
-  route = std::move(other61.route);
-  answers = other61.answers;
-  failures = other61.failures;
-  totalUs = other61.totalUs;
-  __isset = other61.__isset;
+VersionOutcome& VersionOutcome::operator=(VersionOutcome&& other65) noexcept {
+  serviceName = std::move(other65.serviceName);
+  serverVersion = std::move(other65.serverVersion);
+  route = std::move(other65.route);
+  answers = other65.answers;
+  failures = other65.failures;
+  totalUs = other65.totalUs;
+  __isset = other65.__isset;
   return *this;
 }
 void VersionOutcome::printTo(std::ostream& out) const {
@@ -2304,14 +2451,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->outcomes.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->outcomes.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->outcomes[_i66].read(iprot);
+              xfer += this->outcomes[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2348,10 +2495,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<VersionOutcome> ::const_iterator _iter67;
-    for (_iter67 = this->outcomes.begin(); _iter67 != this->outcomes.end(); ++_iter67)
+    std::vector<VersionOutcome> ::const_iterator _iter71;
+    for (_iter71 = this->outcomes.begin(); _iter71 != this->outcomes.end(); ++_iter71)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2373,26 +2520,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionEvidence::VersionEvidence(const VersionEvidence& other68) {
-  outcomes = other68.outcomes;
-  instance = other68.instance;
-  __isset = other68.__isset;
+VersionEvidence::VersionEvidence(const VersionEvidence& other72) {
+  outcomes = other72.outcomes;
+  instance = other72.instance;
+  __isset = other72.__isset;
 }
-VersionEvidence::VersionEvidence(VersionEvidence&& other69) noexcept {
-  outcomes = std::move(other69.outcomes);
-  instance = other69.instance;
-  __isset = other69.__isset;
+VersionEvidence::VersionEvidence(VersionEvidence&& other73) noexcept {
+  outcomes = std::move(other73.outcomes);
+  instance = other73.instance;
+  __isset = other73.__isset;
 }
-VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other70) {
-  outcomes = other70.outcomes;
-  instance = other70.instance;
-  __isset = other70.__isset;
+VersionEvidence& VersionEvidence::operator=(const VersionEvidence& other74) {
+  outcomes = other74.outcomes;
+  instance = other74.instance;
+  __isset = other74.__isset;
   return *this;
 }
-VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other71) noexcept {
-  outcomes = std::move(other71.outcomes);
-  instance = other71.instance;
-  __isset = other71.__isset;
+VersionEvidence& VersionEvidence::operator=(VersionEvidence&& other75) noexcept {
+  outcomes = std::move(other75.outcomes);
+  instance = other75.instance;
+  __isset = other75.__isset;
   return *this;
 }
 void VersionEvidence::printTo(std::ostream& out) const {
@@ -2530,34 +2677,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other72) {
-  key = other72.key;
-  revision = other72.revision;
-  order = other72.order;
-  status = other72.status;
-  __isset = other72.__isset;
-}
-RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other73) noexcept {
-  key = std::move(other73.key);
-  revision = other73.revision;
-  order = std::move(other73.order);
-  status = std::move(other73.status);
-  __isset = other73.__isset;
-}
-RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other74) {
-  key = other74.key;
-  revision = other74.revision;
-  order = other74.order;
-  status = other74.status;
-  __isset = other74.__isset;
+RolloutAnnounce::RolloutAnnounce(const RolloutAnnounce& other76) {
+  key = other76.key;
+  revision = other76.revision;
+  order = other76.order;
+  status = other76.status;
+  __isset = other76.__isset;
+}
+RolloutAnnounce::RolloutAnnounce(RolloutAnnounce&& other77) noexcept {
+  key = std::move(other77.key);
+  revision = other77.revision;
+  order = std::move(other77.order);
+  status = std::move(other77.status);
+  __isset = other77.__isset;
+}
+RolloutAnnounce& RolloutAnnounce::operator=(const RolloutAnnounce& other78) {
+  key = other78.key;
+  revision = other78.revision;
+  order = other78.order;
+  status = other78.status;
+  __isset = other78.__isset;
   return *this;
 }
-RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other75) noexcept {
-  key = std::move(other75.key);
-  revision = other75.revision;
-  order = std::move(other75.order);
-  status = std::move(other75.status);
-  __isset = other75.__isset;
+RolloutAnnounce& RolloutAnnounce::operator=(RolloutAnnounce&& other79) noexcept {
+  key = std::move(other79.key);
+  revision = other79.revision;
+  order = std::move(other79.order);
+  status = std::move(other79.status);
+  __isset = other79.__isset;
   return *this;
 }
 void RolloutAnnounce::printTo(std::ostream& out) const {
--- a/cyclamenwind/wire/gen-cpp/mesh_types.h
+++ b/cyclamenwind/wire/gen-cpp/mesh_types.h
@@ -56,6 +56,8 @@
 
 class ForwardCancel;
 
+class ForwardLimit;
+
 class EndpointRecord;
 
 class EndpointAnnounce;
@@ -73,7 +75,7 @@
 class RolloutAnnounce;
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false), knownRateLimit(false), knownLimitBorn(false) {}
+  _ForwardRequest__isset() : id(false), instanceId(false), serviceName(false), callerService(false), attemptId(false), method(false), target(false), headers(false), body(false), remainingUs(false), objectiveUs(false), idempotent(false), priority(false), nested(false), route(false), configRevision(false), knownRateLimit(false), knownLimitBorn(false), answerWithinUs(false) {}
   bool id :1;
   bool instanceId :1;
   bool serviceName :1;
@@ -92,6 +94,7 @@
   bool configRevision :1;
   bool knownRateLimit :1;
   bool knownLimitBorn :1;
+  bool answerWithinUs :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -118,7 +121,8 @@
                    route(),
                    configRevision(0),
                    knownRateLimit(0),
-                   knownLimitBorn(0) {
+                   knownLimitBorn(0),
+                   answerWithinUs(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -140,6 +144,7 @@
   int64_t configRevision;
   double knownRateLimit;
   int64_t knownLimitBorn;
+  int64_t answerWithinUs;
 
   _ForwardRequest__isset __isset;
 
@@ -179,6 +184,8 @@
 
   void __set_knownLimitBorn(const int64_t val);
 
+  void __set_answerWithinUs(const int64_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -219,6 +226,10 @@
       return false;
     if (!(knownLimitBorn == rhs.knownLimitBorn))
       return false;
+    if (__isset.answerWithinUs != rhs.__isset.answerWithinUs)
+      return false;
+    else if (__isset.answerWithinUs && !(answerWithinUs == rhs.answerWithinUs))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -451,6 +462,58 @@
 
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
+typedef struct _ForwardLimit__isset {
+  _ForwardLimit__isset() : id(false), answerWithinUs(false) {}
+  bool id :1;
+  bool answerWithinUs :1;
+} _ForwardLimit__isset;
+
+class ForwardLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardLimit(const ForwardLimit&) noexcept;
+  ForwardLimit(ForwardLimit&&) noexcept;
+  ForwardLimit& operator=(const ForwardLimit&) noexcept;
+  ForwardLimit& operator=(ForwardLimit&&) noexcept;
+  ForwardLimit() noexcept
+               : id(0),
+                 answerWithinUs(0) {
+  }
+
+  virtual ~ForwardLimit() noexcept;
+  int64_t id;
+  int64_t answerWithinUs;
+
+  _ForwardLimit__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_answerWithinUs(const int64_t val);
+
+  bool operator == (const ForwardLimit & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(answerWithinUs == rhs.answerWithinUs))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardLimit &a, ForwardLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardLimit& obj);
+
 typedef struct _EndpointRecord__isset {
   _EndpointRecord__isset() : id(false), serviceName(false), serverVersion(false), failureDomain(false), gateAddress(false), state(false), slots(false), born(false), sequence(false), serverAddress(false) {}
   bool id :1;
--- a/cyclamenwind/wire/mesh.thrift
+++ b/cyclamenwind/wire/mesh.thrift
@@ -31,6 +31,9 @@
   17: optional double knownRateLimit
   // Start of the incarnation that named it, Unix milliseconds.
   18: i64 knownLimitBorn
+  // Set if the sender is stopping: time left until it can no longer pass on a
+  // response. A request that cannot end within it is refused.
+  19: optional i64 answerWithinUs
 }
 
 enum ForwardOutcome {
@@ -75,6 +78,13 @@
   1: i64 id
 }
 
+// Sets answerWithinUs of a request that was forwarded before its sender stopped.
+// A request that runs goes on.
+struct ForwardLimit {
+  1: i64 id
+  2: i64 answerWithinUs
+}
+
 // A backend server's record, published by the server's daemon.
 struct EndpointRecord {
   1: string id
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -197,6 +197,20 @@
       report(Daemons.size() - 1, 1);
   }
 
+  // Stops a daemon as MeshDaemon does, from now until its end after Limit; its
+  // process then ends. Advances the time.
+  void stopGracefully(size_t Index, Duration Limit) {
+    Daemon &Stopping = Daemons[Index];
+    TimePoint End = Time.now() + Limit;
+    Stopping.Inbound->answerBy(End);
+    Stopping.Outbound->answerBy(End);
+    Time.advance(Limit);
+    Stopping.Inbound->endAll();
+    Stopping.Outbound->answerAll();
+    Time.advance(20ms);
+    kill(Index);
+  }
+
   // Ends the process of a daemon at once.
   void kill(size_t Index) {
     Daemons[Index].Services->stop();
--- a/tests/mesh_admission_queue_test.cpp
+++ b/tests/mesh_admission_queue_test.cpp
@@ -197,3 +197,31 @@
       (Kinds[0].InTime * 0.13 + Kinds[1].InTime * 0.64) / (Slots * 30);
   CHECK(Used >= 0.9);
 }
+
+TEST_CASE(
+    "what cannot end before a daemon stops is refused when that is known") {
+  AdmissionQueue Queue(1);
+  trainEstimate(Queue, 200ms);
+  REQUIRE(Queue.offer(offer(1, Start, 5s), Start) == QueueDecision::Run);
+  for (RequestHandle I = 2; I <= 6; ++I)
+    REQUIRE(Queue.offer(offer(I, Start, 5s), Start) == QueueDecision::Queued);
+  // The second one waits for 400 ms; there is time for it and the one before.
+  CHECK(Queue.limitAnswer(4, Start + 500ms, Start).Expired ==
+        std::vector<RequestHandle>{4});
+  CHECK(Queue.limitAnswer(2, Start + 500ms, Start).Expired.empty());
+  CHECK(Queue.limitAnswer(1, Start, Start).Expired.empty()); // It runs.
+  CHECK(Queue.limitAnswers(Start + 900ms, Start).Expired ==
+        std::vector<RequestHandle>{6});
+  CHECK(Queue.queued() == 3);
+  // A later limit does not replace an earlier one.
+  CHECK(Queue.limitAnswer(2, Start + 5s, Start).Expired.empty());
+  CHECK(Queue.expire(Start + 301ms).Expired == std::vector<RequestHandle>{2});
+  // A free slot does not help a request that would end too late.
+  AdmissionQueue Free(2);
+  trainEstimate(Free, 200ms);
+  QueuedRequest Late = offer(9, Start, 5s);
+  Late.AnswerBy = Start + 100ms;
+  CHECK(Free.offer(Late, Start) == QueueDecision::Refused);
+  Late.AnswerBy = Start + 300ms;
+  CHECK(Free.offer(Late, Start) == QueueDecision::Run);
+}
--- a/tests/mesh_daemon_test.cpp
+++ b/tests/mesh_daemon_test.cpp
@@ -30,6 +30,9 @@
    "priority": 1, "maxAttempts": 2, "service": "films"},
   {"name": "submit", "host": "h.example", "pathPrefix": "/submit/",
    "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 1000,
+   "priority": 1, "maxAttempts": 2, "service": "films"},
+  {"name": "slow", "host": "h.example", "pathPrefix": "/slow/",
+   "kind": "unsafe", "timeoutMs": 12000, "targetLatencyMs": 11000,
    "priority": 1, "maxAttempts": 2, "service": "films"}],
   "services": [{"name": "films", "healthPath": "/health"}],
   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
@@ -140,15 +143,19 @@
                            "Cyclamenwind-Response-Signature: s\r\n"
                            "Cyclamenwind-Instance-Id: i-1\r\nContent-Length: " +
                            std::to_string(Body.size()) + "\r\n\r\n" + Body;
-    size_t Submit = Head.find("/submit/");
-    if (Submit == std::string::npos) {
-      Stream.write(Response);
+    for (const auto &[Path, Work] :
+         {std::pair<std::string, Duration>("/submit/", SubmitWork),
+          {"/slow/", SlowWork}}) {
+      size_t Found = Head.find(Path);
+      if (Found == std::string::npos)
+        continue;
+      size_t Name = Found + Path.size();
+      ++Runs[Head.substr(Name, Head.find(' ', Name) - Name)];
+      Delayed.push_back(
+          TheLoop.after(Work, [&Stream, Response] { Stream.write(Response); }));
       return;
     }
-    size_t Name = Submit + std::string_view("/submit/").size();
-    ++Runs[Head.substr(Name, Head.find(' ', Name) - Name)];
-    Delayed.push_back(TheLoop.after(
-        SubmitWork, [&Stream, Response] { Stream.write(Response); }));
+    Stream.write(Response);
   }
 
   static std::string film(size_t Bytes) {
@@ -212,9 +219,10 @@
   std::vector<std::unique_ptr<HttpCall>> Reports;
   TimerHandle ReportTimer;
   int Sent = 0;
-  std::map<std::string, int> Runs; // Of /submit/ requests, by name.
+  std::map<std::string, int> Runs; // Of /submit/ and /slow/ requests, by name.
   std::vector<TimerHandle> Delayed;
   static constexpr Duration SubmitWork = 400ms;
+  static constexpr Duration SlowWork = 8s;
 };
 
 } // namespace
@@ -319,3 +327,55 @@
     CHECK(Answers[Name].starts_with("HTTP/1.1 200"));
   }
 }
+
+// Guards against requests that a stopping daemon cuts at its end: those that
+// wait for a slot, those that run longer, and those whose answers are ready
+// behind them on their connection.
+TEST_CASE("planned stop with requests that outlast it: each is answered, and "
+          "what is refused has not run") {
+  World TheWorld;
+  bool StopsServerSide = GENERATE(false, true);
+  HostSettings Settings = settingsOf(StopsServerSide ? 8100 : 8200);
+  Settings.StopLimit = 4s;
+  DaemonProcess Other(settingsOf(StopsServerSide ? 8200 : 8100));
+  DaemonProcess Stopping(Settings, 4s);
+  TimePoint Start = TheWorld.TheLoop.now();
+  TheWorld.awaitServing();
+  while (TheWorld.TheLoop.now() - Start < 4200ms)
+    runFor(TheWorld.TheLoop, 5ms);
+  auto Request = [](const std::string &Path, const std::string &Name) {
+    return "GET " + Path + Name +
+           " HTTP/1.1\r\nHost: h.example\r\nCyclamenwind-Attempt-Id: " + Name +
+           "\r\nCyclamenwind-Deadline-Ms: 11000\r\n\r\n";
+  };
+  // The server has nine slots.
+  std::map<std::string, std::unique_ptr<RawStream>> Streams;
+  for (int I = 0; I < 14; ++I) {
+    std::string Name = "s" + std::to_string(I);
+    Streams[Name] =
+        std::make_unique<RawStream>(TheWorld.TheLoop, loopbackAddress(8200));
+    std::string Bytes = Request("/slow/", Name);
+    if (I == 0)
+      Bytes = Request("/small/", "first") + Bytes + Request("/small/", "last");
+    Streams[Name]->write(Bytes);
+    runFor(TheWorld.TheLoop, 10ms);
+  }
+  CHECK(runUntil(
+      TheWorld.TheLoop, [&] { return Stopping.Ended.load(); }, 6s));
+  runFor(TheWorld.TheLoop, 500ms);
+  CHECK(TheWorld.Runs.size() == 9);
+  int Refused = 0;
+  for (const auto &[Name, Stream] : Streams) {
+    INFO(Name << ": " << Stream->Received);
+    bool Ran = TheWorld.Runs[Name] > 0;
+    size_t Answer =
+        Stream->Received.find(Ran ? "HTTP/1.1 502" : "HTTP/1.1 503");
+    CHECK(Answer != std::string::npos);
+    Refused += Ran ? 0 : 1;
+  }
+  CHECK(Refused == 5);
+  // The answers around a request that runs are delivered.
+  const std::string &Pipelined = Streams["s0"]->Received;
+  CHECK(Pipelined.starts_with("HTTP/1.1 200"));
+  CHECK(Pipelined.rfind("HTTP/1.1 200") > Pipelined.find("HTTP/1.1 502"));
+}
