A departure whose record someone else removed is not unwritten

Cause: reading the change again: a departure learned from the platform left a publication behind that counted as unwritten once the record was removed, so that a daemon without peers would have waited until its stop limit. A peer's answerWithinUs could overflow a sum of times. Change: no publication for a stored departure; one whose record was removed is dropped; answerWithinUs is cut to an hour. Parameters renamed.

--- a/cyclamenwind/mesh/inbound_proxy.cpp
+++ b/cyclamenwind/mesh/inbound_proxy.cpp
@@ -4,6 +4,8 @@
 #include "cyclamenwind/base/names.h"
 #include "cyclamenwind/wire/http_text.h"
 
+#include <algorithm>
+
 namespace cyclamenwind {
 namespace {
 
@@ -20,6 +22,8 @@
 constexpr Duration PeerReconnectGrace = 350ms;
 // A health check takes a few milliseconds unless all slots are in use.
 constexpr Duration HealthTimeout = 300ms;
+// A stopping sender ends within this time; a peer's larger number is cut to it.
+constexpr Duration MaxAnswerTime = 1h;
 constexpr int FirstFailureStatus = 500;
 // Another server, which now uses the address, gave the response.
 constexpr int Misdirected = 421;
@@ -61,6 +65,12 @@
          isHeaderValue(Message.instanceId);
 }
 
+// The time until which the sender of a request can pass on a response.
+TimePoint answerLimit(int64_t AnswerWithinUs, TimePoint Now) {
+  return Now +
+         std::clamp(Duration(AnswerWithinUs), -MaxAnswerTime, MaxAnswerTime);
+}
+
 // Whether callers take Status as a guarantee that the request did not run.
 bool impliesNotRun(int Status) {
   return Status == 408 || Status == Misdirected || Status == 429 ||
@@ -227,7 +237,7 @@
                          NewRequest.Deadline,
                          AnswersEndAt};
     if (NewRequest.Message.__isset.answerWithinUs) {
-      TimePoint Limit = Now + Duration(NewRequest.Message.answerWithinUs);
+      TimePoint Limit = answerLimit(NewRequest.Message.answerWithinUs, Now);
       Queued.AnswerBy = std::min(Limit, Queued.AnswerBy.value_or(Limit));
     }
     QueueDecision Decision = Target->Queue.offer(Queued, Now);
@@ -569,7 +579,7 @@
   auto Found = FromPeers.find({From, Message.value().id});
   if (Found != FromPeers.end())
     limitAnswer(Found->second,
-                Time->now() + Duration(Message.value().answerWithinUs));
+                answerLimit(Message.value().answerWithinUs, Time->now()));
 }
 
 // Cancels the peer's idempotent requests unless it reconnects within
--- a/cyclamenwind/mesh/inbound_proxy.h
+++ b/cyclamenwind/mesh/inbound_proxy.h
@@ -101,9 +101,9 @@
   // not expected to end before.
   void limitAnswer(RequestHandle Handle, TimePoint AnswerBy);
 
-  // This daemon stops and can send responses only until Time: applies it to all
-  // requests, also those submitted from now on.
-  void answerBy(TimePoint Time);
+  // This daemon stops and can send responses only until EndsAt: applies it to
+  // all requests, also those submitted from now on.
+  void answerBy(TimePoint EndsAt);
 
   // Refuses all requests that wait, and ends those that run with an unknown
   // outcome. Their OnDone is called.
--- a/cyclamenwind/mesh/outbound_proxy.h
+++ b/cyclamenwind/mesh/outbound_proxy.h
@@ -49,10 +49,10 @@
   // Number of requests that have not been answered yet.
   size_t active() const { return Calls.size(); }
 
-  // This daemon stops and can answer callers only until Time: tells the daemons
-  // that requests were or will be sent to, which refuse what is not expected to
-  // end before.
-  void answerBy(TimePoint Time);
+  // This daemon stops and can answer callers only until EndsAt: tells the
+  // daemons that requests were or will be sent to, which refuse what is not
+  // expected to end before.
+  void answerBy(TimePoint EndsAt);
 
   // Answers all requests without an answer: 502 if a server may have run them.
   // Requests that run are not cancelled.
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -437,11 +437,19 @@
     write(Id);
     return;
   }
+  // Without a record the platform names no server: the departure is complete.
+  if (Found != Publications.end() && !Found->second.Writing)
+    Publications.erase(Found);
   State->remove(Id);
 }
 
 void StoreSync::publish(const MeshEndpoint &Record,
                         std::function<void(bool)> OnDone) {
+  bool IsKnown = Publications.count(Record.Id) != 0;
+  if (!IsKnown && Record.leaves() && isStored(Record)) {
+    OnDone(true);
+    return;
+  }
   Publication &Entry = Publications[Record.Id];
   Entry.Record = Record;
   if (!Entry.Writing && isStored(Record)) {
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -745,3 +745,20 @@
   for (const auto &TheDaemon : Daemons)
     CHECK(TheDaemon->State->routes()->config().Version == 2);
 }
+
+TEST_CASE("the record of a departed server that someone else removed is not "
+          "unwritten") {
+  StoreWorld World;
+  auto One = World.daemon("10.0.0.1");
+  World.Time.advance(100ms);
+  One->Store->publish(server("i-1", 1, EndpointState::Draining), [](bool) {});
+  World.Time.advance(100ms);
+  CHECK(One->Store->unwrittenDepartures() == 0);
+  Result<PlatformObject, PlatformError> Read =
+      World.Platform.Store.read("endpoints/i-1");
+  REQUIRE(Read);
+  REQUIRE(World.Platform.Store.remove("endpoints/i-1", Read.value().Version));
+  World.Platform.wake();
+  World.Time.advance(3s);
+  CHECK(One->Store->unwrittenDepartures() == 0);
+}
