--- a/review/standin-2/platform_side.py
+++ b/review/standin-2/platform_side.py
@@ -35,6 +35,7 @@
         self.machine, self.memory_mb, self.record = machine, memory_mb, record
         self.ends = 0
         self.peak = 0
+        self.stopping = False
 
     def resident(self):
         try:
@@ -49,7 +50,7 @@
 
     async def watch(self):
         noted = 0
-        while True:
+        while not self.stopping:
             await asyncio.sleep(0.05)
             bytes_now = self.resident()
             self.peak = max(self.peak, bytes_now)
@@ -67,6 +68,8 @@
                 + f" (end {self.ends})")
             await self.machine.end()
             await asyncio.sleep(RESTART_SECONDS)
+            if self.stopping:
+                return
             restart_later(self.machine)
             await self.machine.start()
             noted = 0
@@ -100,8 +103,8 @@
     watched = [Watched(machine, world.memory_mb, record)
                for machine in world.machines]
     ordinary = OrdinaryCallers(world.machines, world.services, record)
-    tasks = [asyncio.create_task(each.watch()) for each in watched]
-    tasks += [asyncio.create_task(each) for each in loads]
+    watches = [asyncio.create_task(each.watch()) for each in watched]
+    tasks = [asyncio.create_task(each) for each in loads]
     tasks.append(asyncio.create_task(ordinary.run()))
     often = []
     try:
@@ -110,13 +113,16 @@
             await asyncio.sleep(0.5)
             often = [each.machine.name for each in watched
                      if each.ends >= ENDS_PER_MACHINE]
-            for task in tasks:
+            for task in watches + tasks:
                 if task.done():
                     task.result()
     finally:
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # Not cancelled: a process that is being started would be left behind.
+        for each in watched:
+            each.stopping = True
+        await asyncio.gather(*watches, *tasks, return_exceptions=True)
     for each in watched:
         record.say(f"{each.machine.name}: ended {each.ends} times, at most "
                    f"{each.peak >> 20} MB; ordinary requests by status "
