--- a/review/standin-2/case.py
+++ b/review/standin-2/case.py
@@ -58,7 +58,7 @@
     try:
         broken = asyncio.run(limited())
     except Exception as error:  # Whatever fails here says nothing about the rule.
-        record.say(f"not run: {error!r}")
+        record.say(f"not run: {error!r}".replace(ROOT + os.sep, ""))
         return 2
     for text in broken:
         record.say(f"BROKEN {text}")
