Servers are no longer lost to records of services that are not configured

The report named a service that no configuration names and the address of the host's own server.

Cause: a newer record at a server's address means that this server has ended. The rule was applied to every record, whether or not the configuration names its service. The directory of each daemon set the real server to Gone, which does not end, and the registry ignored its reports from then on. The same happened by the server's id, by entries of the store, by records of peers, and before the configuration was known.

Change: only a server whose service the configuration names replaces another one. The directory keeps records as they were merged and decides with each configuration which are replaced, so what was accepted too early ends with the next configuration in every daemon. Left-over records are withdrawn by the daemon of their host, from the store and so from all daemons, when their reports cease. What another writer stored under the id of a real server is written again. Peers get records as they were merged.

Why it works: records of services without a route are never used, so they need not replace anything; reports of services that are named later are still recorded, and their servers are in use with the configuration that names them.

The new cases of mesh_endpoint_directory_test and mesh_store_sync_test use functions that the code before does not have.

--- a/cyclamenwind/mesh/config.cpp
+++ b/cyclamenwind/mesh/config.cpp
@@ -47,4 +47,14 @@
   return nullptr;
 }
 
+std::set<std::string> RouteTable::serviceNames() const {
+  std::set<std::string> Names;
+  for (const MeshService &Service : Config.Services)
+    Names.insert(Service.Name);
+  for (const MeshRoute &Route : Config.Routes)
+    for (const WeightedService &Target : Route.Targets)
+      Names.insert(Target.Service);
+  return Names;
+}
+
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/config.h
+++ b/cyclamenwind/mesh/config.h
@@ -95,6 +95,10 @@
   // The service named Name; null if there is none.
   const MeshService *service(std::string_view Name) const;
 
+  // The services that the configuration names: those that it describes and the
+  // targets of its routes.
+  std::set<std::string> serviceNames() const;
+
   // Whether a route sends requests with large bodies to the service named Name.
   bool takesUploads(const std::string &Name) const {
     return UploadServices.count(Name) != 0;
--- a/cyclamenwind/mesh/endpoint_directory.cpp
+++ b/cyclamenwind/mesh/endpoint_directory.cpp
@@ -2,49 +2,134 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cyclamenwind {
 
+void EndpointDirectory::setServices(std::set<std::string> Names) {
+  Services = std::move(Names);
+  ServicesKnown = true;
+  for (const auto &[Id, Known] : Entries)
+    updateEndpoint(Id);
+}
+
+bool EndpointDirectory::supersedes(const MeshEndpoint &Record,
+                                   const MeshEndpoint &Existing) const {
+  if (Record.Service != Existing.Service) {
+    if (!isNamed(Record.Service))
+      return false;
+    if (!isNamed(Existing.Service))
+      return true;
+  }
+  return Record.supersedes(Existing);
+}
+
 bool EndpointDirectory::merge(const MeshEndpoint &Record) {
-  auto Found = Endpoints.find(Record.Id);
-  bool Exists = Found != Endpoints.end();
-  if (Exists && !Record.supersedes(Found->second))
-    return false;
-  bool UnreachableFromOther = Exists &&
-                              Record.State == EndpointState::Unreachable &&
-                              Found->second.State == EndpointState::Ready &&
-                              Found->second.StartedAtMs == Record.StartedAtMs;
-  return !UnreachableFromOther && insert(Record);
+  auto Found = Entries.find(Record.Id);
+  if (Found == Entries.end())
+    return insert(Record);
+  const MeshEndpoint &Existing = Found->second.Record;
+  bool UnreachableFromOther = Record.State == EndpointState::Unreachable &&
+                              Existing.State == EndpointState::Ready &&
+                              Existing.StartedAtMs == Record.StartedAtMs;
+  return supersedes(Record, Existing) && !UnreachableFromOther &&
+         insert(Record);
 }
 
 bool EndpointDirectory::mergeFromOwner(const MeshEndpoint &Record) {
-  auto Found = Endpoints.find(Record.Id);
-  if (Found == Endpoints.end() || Record.supersedes(Found->second))
+  auto Found = Entries.find(Record.Id);
+  if (Found == Entries.end() || supersedes(Record, Found->second.Record))
     return insert(Record);
-  MeshEndpoint &Existing = Found->second;
+  MeshEndpoint &Existing = Found->second.Record;
   bool IsReachableAgain = Existing.State == EndpointState::Unreachable &&
                           Record.State == EndpointState::Ready &&
-                          Existing.StartedAtMs == Record.StartedAtMs;
-  if (IsReachableAgain)
-    Existing.State = EndpointState::Ready;
-  return IsReachableAgain;
+                          Existing.StartedAtMs == Record.StartedAtMs &&
+                          Existing.Service == Record.Service;
+  if (!IsReachableAgain)
+    return false;
+  Existing.State = EndpointState::Ready;
+  updateEndpoint(Record.Id);
+  return !Found->second.IsReplaced;
 }
 
+// Returns whether anything changed that is in force: what is merged of a server
+// that was replaced is not.
 bool EndpointDirectory::insert(const MeshEndpoint &Record) {
-  for (auto &[Id, Other] : Endpoints) {
-    bool SameAddress =
-        Other.ServerAddress == Record.ServerAddress && Id != Record.Id;
-    if (SameAddress && Other.StartedAtMs > Record.StartedAtMs &&
-        Other.State != EndpointState::Gone)
-      return false; // A newer server runs at this address.
-    if (SameAddress && Other.StartedAtMs <= Record.StartedAtMs)
-      Other.State = EndpointState::Gone;
+  auto [Position, IsNew] = Entries.try_emplace(Record.Id);
+  Entry &Known = Position->second;
+  bool IsNewIncarnation = IsNew ||
+                          Known.Record.StartedAtMs != Record.StartedAtMs ||
+                          Known.Record.ServerAddress != Record.ServerAddress ||
+                          Known.Record.Service != Record.Service;
+  if (IsNewIncarnation)
+    Known.Successors.clear();
+  Known.Record = Record;
+  recordSuccessors(Record.Id);
+  updateEndpoint(Record.Id);
+  return !Known.IsReplaced;
+}
+
+// Compares the server Id with the others at its address. Of two that started in
+// the same millisecond, the one that became known later is the successor.
+void EndpointDirectory::recordSuccessors(const std::string &Id) {
+  Entry &Known = Entries.at(Id);
+  for (auto &[OtherId, Other] : Entries) {
+    if (OtherId == Id ||
+        Other.Record.ServerAddress != Known.Record.ServerAddress)
+      continue;
+    if (Other.Record.StartedAtMs > Known.Record.StartedAtMs) {
+      if (Endpoints.at(OtherId).State != EndpointState::Gone)
+        Known.Successors[OtherId] = Other.Record.Service;
+    } else if (Known.Successors.count(OtherId) == 0) {
+      Other.Successors[Id] = Known.Record.Service;
+      updateEndpoint(OtherId);
+    }
   }
-  Endpoints[Record.Id] = Record;
-  return true;
 }
 
-void EndpointDirectory::remove(const std::string &Id) { Endpoints.erase(Id); }
+std::string EndpointDirectory::successorOf(const Entry &Known) const {
+  for (const auto &[Id, Service] : Known.Successors)
+    if (isNamed(Service))
+      return Id;
+  return "";
+}
+
+// Brings the record in force up to date.
+void EndpointDirectory::updateEndpoint(const std::string &Id) {
+  Entry &Known = Entries.at(Id);
+  std::string Successor = successorOf(Known);
+  if (Known.IsReplaced == Successor.empty())
+    Replacements.push_back({Id, Successor});
+  Known.IsReplaced = !Successor.empty();
+  MeshEndpoint &InForce = Endpoints[Id];
+  InForce = Known.Record;
+  if (Known.IsReplaced)
+    InForce.State = EndpointState::Gone;
+}
+
+std::vector<const MeshEndpoint *> EndpointDirectory::merged() const {
+  std::vector<const MeshEndpoint *> Result;
+  for (const auto &[Id, Known] : Entries)
+    Result.push_back(&Known.Record);
+  return Result;
+}
+
+std::vector<EndpointDirectory::Replacement>
+EndpointDirectory::takeReplacements() {
+  return std::exchange(Replacements, {});
+}
+
+// A server that was replaced stays so after the record of its successor is
+// removed, unless that never was in force.
+void EndpointDirectory::remove(const std::string &Id) {
+  Entries.erase(Id);
+  Endpoints.erase(Id);
+  for (auto &[OtherId, Other] : Entries) {
+    auto Successor = Other.Successors.find(Id);
+    if (Successor != Other.Successors.end() && !isNamed(Successor->second))
+      Other.Successors.erase(Successor);
+  }
+}
 
 const MeshEndpoint *EndpointDirectory::find(const std::string &Id) const {
   auto Found = Endpoints.find(Id);
--- a/cyclamenwind/mesh/local_server_registry.cpp
+++ b/cyclamenwind/mesh/local_server_registry.cpp
@@ -1,6 +1,7 @@
 #include "cyclamenwind/mesh/local_server_registry.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/names.h"
 
 #include <algorithm>
 
@@ -20,8 +21,21 @@
 // An acknowledgement after one second counts as missing.
 constexpr Duration AckTimeout = 600ms;
 
+constexpr std::array<EnumName<ReportError>, 6> ReportErrorNames = {{
+    {ReportError::None, "none"},
+    {ReportError::Departed, "departed"},
+    {ReportError::EarlierIncarnation, "earlier_incarnation"},
+    {ReportError::Outdated, "outdated"},
+    {ReportError::AddressTaken, "address_taken"},
+    {ReportError::ServiceNotNamed, "service_not_named"},
+}};
+
 } // namespace
 
+std::string_view nameOf(ReportError Error) {
+  return nameIn(ReportErrorNames, Error);
+}
+
 void LocalServerRegistry::start(Kernel &TheKernel) {
   Time = &TheKernel.clock();
   Timers = &TheKernel.scheduler();
@@ -53,26 +67,34 @@
 }
 
 // Whether Record is of the newest incarnation at its address and newer than
-// every record of that incarnation, from this daemon or from others.
-bool LocalServerRegistry::isNewer(const MeshEndpoint &Record) const {
-  for (const auto &[Id, Existing] : State->directory().all()) {
-    if (Id == Record.Id) {
-      if (Existing.StartedAtMs != Record.StartedAtMs) {
-        if (Existing.StartedAtMs > Record.StartedAtMs)
-          return false;
+// every record of that incarnation, from this daemon or from others; if not,
+// why.
+ReportError LocalServerRegistry::reportError(const MeshEndpoint &Record) const {
+  const EndpointDirectory &Directory = State->directory();
+  for (const auto &[Id, Existing] : Directory.all()) {
+    if (Id != Record.Id) {
+      if (Existing.ServerAddress == Record.ServerAddress &&
+          Existing.StartedAtMs > Record.StartedAtMs &&
+          Directory.isNamed(Existing.Service))
+        return ReportError::AddressTaken;
+      continue;
+    }
+    if (Existing.Service != Record.Service) {
+      if (!Directory.isNamed(Record.Service))
+        return ReportError::ServiceNotNamed;
+      if (!Directory.isNamed(Existing.Service))
         continue;
-      }
-      // A departure counts whatever its number is: another writer may have
-      // used a higher one.
-      bool GoesBack = Existing.leaves() && Record.State < Existing.State;
-      if (GoesBack || !Record.supersedes(Existing))
-        return false;
-    } else if (Existing.ServerAddress == Record.ServerAddress &&
-               Existing.StartedAtMs > Record.StartedAtMs) {
-      return false;
     }
+    if (Existing.StartedAtMs > Record.StartedAtMs)
+      return ReportError::EarlierIncarnation;
+    // A departure counts whatever its number is: another writer may have used a
+    // higher one.
+    bool GoesBack = Existing.leaves() && Record.State < Existing.State;
+    if (Existing.StartedAtMs == Record.StartedAtMs &&
+        (GoesBack || !Record.supersedes(Existing)))
+      return ReportError::Outdated;
   }
-  return true;
+  return ReportError::None;
 }
 
 void LocalServerRegistry::report(const ServerReport &Report,
@@ -103,8 +125,12 @@
   auto Left = UnknownDepartures.find(Report.Id);
   bool HasLeft = Left != UnknownDepartures.end() &&
                  Time->now() - Left->second.Received < ReportDelayLimit;
-  if (HasLeft || !isNewer(Record)) {
+  ReportError Error = HasLeft ? ReportError::Departed : reportError(Record);
+  if (Error != ReportError::None) {
     logInfo("report_ignored", {{"server", Report.Id},
+                               {"reason", nameOf(Error)},
+                               {"service", Report.Service},
+                               {"address", Report.ServerAddress.text()},
                                {"born", Report.StartedAtMs},
                                {"sequence", Report.Sequence}});
     Acknowledge();
@@ -218,8 +244,9 @@
     return;
   }
   PendingReports.erase(Record.Id);
-  ServerEntry &Entry = Servers[Record.Id];
-  if (!Record.supersedes(Entry.Record))
+  auto [Position, IsNew] = Servers.try_emplace(Record.Id);
+  ServerEntry &Entry = Position->second;
+  if (!IsNew && !State->directory().supersedes(Record, Entry.Record))
     return;
   logInfo("server_leaving_learned", {{"server", Record.Id},
                                      {"state", nameOf(Record.State)},
@@ -287,6 +314,13 @@
   updateServer(Record, [] {});
 }
 
+// Whether the directory has a record of the server of Record, and not of
+// another server under its id.
+bool LocalServerRegistry::isKnown(const MeshEndpoint &Record) const {
+  const MeshEndpoint *Known = State->directory().find(Record.Id);
+  return Known != nullptr && Known->Service == Record.Service;
+}
+
 void LocalServerRegistry::updateServer(const MeshEndpoint &Record,
                                        std::function<void()> Acknowledge) {
   ServerEntry &Entry = Servers[Record.Id];
@@ -295,7 +329,8 @@
                  Entry.Record.StartedAtMs != Record.StartedAtMs ||
                  Entry.Record.Slots != Record.Slots ||
                  Entry.Record.Version != Record.Version ||
-                 Entry.Record.ServerAddress != Record.ServerAddress;
+                 Entry.Record.ServerAddress != Record.ServerAddress ||
+                 !isKnown(Record);
   Entry.Record = Record;
   Entry.LastReceived = Time->now();
   Entry.TimedOut = false;
@@ -425,6 +460,52 @@
     Record.State = EndpointState::Unreachable;
     announce(Record);
   }
+  withdrawSilentRecords(Now);
+}
+
+std::vector<MeshEndpoint> LocalServerRegistry::localRecordsNotNamed() const {
+  std::vector<MeshEndpoint> Result;
+  for (const auto &[Id, Record] : State->directory().all())
+    if (Record.DaemonAddress == Options.DaemonAddress && !Record.leaves() &&
+        !State->directory().isNamed(Record.Service))
+      Result.push_back(Record);
+  return Result;
+}
+
+// Withdraws the local records of services that the configuration does not name
+// and of which no report has come for MaxMissedReports. Another writer may have
+// made them, and they would count as servers once their service is named. A
+// server that goes on to report is recorded again.
+void LocalServerRegistry::withdrawSilentRecords(TimePoint Now) {
+  std::map<std::string, TimePoint> StillUnreported;
+  for (const MeshEndpoint &Record : localRecordsNotNamed()) {
+    auto Reported = Servers.find(Record.Id);
+    TimePoint Since;
+    if (Reported != Servers.end())
+      Since = Reported->second.LastReceived;
+    else
+      Since = UnreportedSince.emplace(Record.Id, Now).first->second;
+    if (Now - Since >= Options.ReportPeriod * MaxMissedReports)
+      withdraw(Record, Now - Since);
+    else if (Reported == Servers.end())
+      StillUnreported.emplace(Record.Id, Since);
+  }
+  UnreportedSince = std::move(StillUnreported);
+}
+
+void LocalServerRegistry::withdraw(const MeshEndpoint &Record,
+                                   Duration Silence) {
+  logWarning("server_withdrawn", {{"server", Record.Id},
+                                  {"service", Record.Service},
+                                  {"silent_ms", milliseconds(Silence)}});
+  PendingReports.erase(Record.Id);
+  if (Servers.erase(Record.Id) != 0) {
+    MeshEndpoint Ended = Record;
+    Ended.State = EndpointState::Gone;
+    Inbound->serverChanged(Ended);
+  }
+  Publisher->withdraw(Record.Id);
+  State->remove(Record.Id);
 }
 
 } // namespace cyclamenwind
--- a/cyclamenwind/mesh/local_server_registry.h
+++ b/cyclamenwind/mesh/local_server_registry.h
@@ -2,7 +2,13 @@
 //
 // A report is accepted if it is of the latest incarnation at its address and
 // newer than the known record of that incarnation; a delayed report changes
-// nothing. A server leaves by reporting that it is draining, by deregistering,
+// nothing. Reports of other writers may reach this daemon as well. One of a
+// service that the configuration does not name is recorded, so that the server
+// is used as soon as its service is named, but takes neither the id nor the
+// address of another server (endpoint_directory.h). Records of such services
+// are withdrawn, here and on the platform, when their reports cease.
+//
+// A server leaves by reporting that it is draining, by deregistering,
 // or by saying so in its responses. Such a message is acknowledged when the
 // server's record is written to the platform or, if the platform does not
 // answer, after AckTimeout: from then on this process sends the server no
@@ -53,6 +59,19 @@
   bool FirstStart = false;
 };
 
+// Why a report changes nothing.
+enum class ReportError {
+  None,
+  Departed,           // The server has deregistered.
+  EarlierIncarnation, // A newer incarnation has the same id.
+  Outdated,           // A newer record of the same incarnation is known.
+  AddressTaken,       // A newer server runs at the same address.
+  ServiceNotNamed,    // The id is that of a server of another service, and the
+                      // configuration does not name the service reported.
+};
+
+std::string_view nameOf(ReportError Error);
+
 class EndpointPublisher {
 public:
   virtual ~EndpointPublisher() = default;
@@ -60,6 +79,9 @@
   // calls it if the write is abandoned.
   virtual void publish(const MeshEndpoint &Record,
                        std::function<void(bool Stored)> OnDone) = 0;
+  // Removes the record of the server Id from the platform, unless a departure
+  // of it was published: that record is removed later.
+  virtual void withdraw(const std::string &Id) = 0;
   // Number of published records of servers that leave which are not stored yet.
   virtual size_t unwrittenDepartures() const = 0;
 };
@@ -119,7 +141,8 @@
   void checkHealth(const MeshEndpoint &Record);
   void onHealthChecked(const MeshEndpoint &Record, bool Healthy);
   std::function<void()> acknowledgeInTime(std::function<void()> Acknowledge);
-  bool isNewer(const MeshEndpoint &Record) const;
+  ReportError reportError(const MeshEndpoint &Record) const;
+  bool isKnown(const MeshEndpoint &Record) const;
   void applyRemoteRecord(const MeshEndpoint &Record);
   void adoptRecordedServers();
   void retryPendingReports();
@@ -128,6 +151,9 @@
   void announce(const MeshEndpoint &Record);
   void serverTurnedCold(const std::string &Id);
   void checkTimeouts();
+  std::vector<MeshEndpoint> localRecordsNotNamed() const;
+  void withdrawSilentRecords(TimePoint Now);
+  void withdraw(const MeshEndpoint &Record, Duration Silence);
 
   LocalServerRegistryOptions Options;
   Clock *Time = nullptr;
@@ -144,6 +170,9 @@
   // Deregistrations of servers without a record here, by id, so that a delayed
   // report or a record read later does not bring them back.
   std::map<std::string, Departure> UnknownDepartures;
+  // Local records of services that are not named and of which this process has
+  // received no report: since when it knows them, by server id.
+  std::map<std::string, TimePoint> UnreportedSince;
   bool Adopted = false; // Whether adoptRecordedServers() has run.
   TimePoint StartedAt;
   TimePoint LastCheckAt;
--- a/cyclamenwind/mesh/mesh_state.cpp
+++ b/cyclamenwind/mesh/mesh_state.cpp
@@ -43,6 +43,8 @@
   Routes = std::make_shared<const RouteTable>(std::move(Config));
   if (Time != nullptr)
     AppliedAt = Time->now();
+  Endpoints.setServices(Routes->serviceNames());
+  logReplacements();
   for (const auto &Handler : ConfigHandlers)
     Handler();
   for (const auto &Handler : ConfigReplacedHandlers)
@@ -50,18 +52,28 @@
   return true;
 }
 
+void MeshState::logReplacements() {
+  for (const EndpointDirectory::Replacement &Change :
+       Endpoints.takeReplacements())
+    logInfo(Change.Successor.empty() ? "server_replacement_ended"
+                                     : "server_replaced",
+            {{"server", Change.Id}, {"by", Change.Successor}});
+}
+
 bool MeshState::merge(const MeshEndpoint &Record) {
-  if (!Endpoints.merge(Record))
-    return false;
-  notifyEndpointChanged(Record);
-  return true;
+  bool Changed = Endpoints.merge(Record);
+  logReplacements();
+  if (Changed)
+    notifyEndpointChanged(Record);
+  return Changed;
 }
 
 bool MeshState::mergeFromOwner(const MeshEndpoint &Record) {
-  if (!Endpoints.mergeFromOwner(Record))
-    return false;
-  notifyEndpointChanged(Record);
-  return true;
+  bool Changed = Endpoints.mergeFromOwner(Record);
+  logReplacements();
+  if (Changed)
+    notifyEndpointChanged(Record);
+  return Changed;
 }
 
 void MeshState::notifyEndpointChanged(const MeshEndpoint &Record) {
--- a/cyclamenwind/mesh/mesh_state.h
+++ b/cyclamenwind/mesh/mesh_state.h
@@ -146,6 +146,7 @@
   }
 
 private:
+  void logReplacements();
   void notifyEndpointsKnown();
   void notifyEndpointChanged(const MeshEndpoint &Record);
 
--- a/cyclamenwind/mesh/peer_sync.cpp
+++ b/cyclamenwind/mesh/peer_sync.cpp
@@ -146,9 +146,9 @@
       (Own.Epoch != Asked.Epoch && !Message.value().__isset.configVersion);
   if (!OwnOnly && MayBeNewer)
     Reply.config = makePatch("", State->configText());
-  for (const auto &[Id, Endpoint] : State->directory().all())
-    if (!OwnOnly || Endpoint.DaemonAddress == From)
-      Reply.endpoints.push_back(toWire(Endpoint));
+  for (const MeshEndpoint *Endpoint : State->directory().merged())
+    if (!OwnOnly || Endpoint->DaemonAddress == From)
+      Reply.endpoints.push_back(toWire(*Endpoint));
   if (State->evacuations().enabled() && State->evacuations().isKnown())
     Reply.__set_evacuations(State->evacuationMessage());
   Peers->sendMessage(From, FrameType::StateReply, Reply);
--- a/cyclamenwind/mesh/store_sync.cpp
+++ b/cyclamenwind/mesh/store_sync.cpp
@@ -297,9 +297,9 @@
   Stored.clear();
   RolloutObjects.clear();
   // An earlier process of this daemon may have published a departure.
-  for (const auto &[Id, Endpoint] : State->directory().all())
-    if (Endpoint.DaemonAddress == Peers->self() && Endpoint.leaves())
-      Publications.try_emplace(Id).first->second.Record = Endpoint;
+  for (const MeshEndpoint *Endpoint : State->directory().merged())
+    if (Endpoint->DaemonAddress == Peers->self() && Endpoint->leaves())
+      Publications.try_emplace(Endpoint->Id).first->second.Record = *Endpoint;
   for (const auto &[Id, Entry] : Publications)
     checkAfterRestore(Id);
   forgetRemovedRecords();
@@ -337,21 +337,21 @@
 void StoreSync::removeAgain(const std::string &Id) {
   TimerHandle Fired = std::move(RemovedChecks[Id]);
   RemovedChecks.erase(Id);
-  Platform.read(endpointKey(Id),
-                [this, Id, StillAlive = Alive](
-                    Result<PlatformObject, PlatformError> Read) {
-                  if (!*StillAlive || !Read)
-                    return;
-                  std::optional<MeshEndpoint> Current = recordOf(Read.value());
-                  auto Removed = RemovedRecords.find(Id);
-                  if (!Current || Removed == RemovedRecords.end() ||
-                      Current->supersedes(Removed->second.Record) ||
-                      Publications.count(Id) != 0)
-                    return;
-                  logInfo("endpoint_removed_again", {{"server", Id}});
-                  Stored[Id] = {Read.value().Version, Current};
-                  removeRecord(Id);
-                });
+  Platform.read(
+      endpointKey(Id), [this, Id, StillAlive = Alive](
+                           Result<PlatformObject, PlatformError> Read) {
+        if (!*StillAlive || !Read)
+          return;
+        std::optional<MeshEndpoint> Current = recordOf(Read.value());
+        auto Removed = RemovedRecords.find(Id);
+        if (!Current || Removed == RemovedRecords.end() ||
+            State->directory().supersedes(*Current, Removed->second.Record) ||
+            Publications.count(Id) != 0)
+          return;
+        logInfo("endpoint_removed_again", {{"server", Id}});
+        Stored[Id] = {Read.value().Version, Current};
+        removeRecord(Id);
+      });
 }
 
 // Orders that the operator has not written again are those of the copy.
@@ -504,6 +504,11 @@
   if (Object.Version >= Previous.Version)
     Previous = {Object.Version, Record};
   State->merge(*Record);
+  auto Found = Publications.find(Record->Id);
+  if (Found != Publications.end() &&
+      Found->second.Record.Service != Record->Service &&
+      State->directory().supersedes(Found->second.Record, *Record))
+    writeAgain(Record->Id);
 }
 
 // An object of another writer names no server. What is known of a server by its
@@ -516,6 +521,12 @@
   Previous = {Object.Version, std::nullopt};
   logWarning("endpoint_unreadable",
              {{"key", Object.Key}, {"revision", Object.Version}});
+  writeAgain(Id);
+}
+
+// Writes the record of a local backend server that is Ready over what another
+// writer has stored in its place.
+void StoreSync::writeAgain(const std::string &Id) {
   auto Found = Publications.find(Id);
   if (Found != Publications.end() &&
       Found->second.Record.State == EndpointState::Ready)
@@ -703,13 +714,14 @@
         }
         std::optional<MeshEndpoint> Current = recordOf(Read.value());
         Stored[Id] = {Read.value().Version, Current};
-        if (Current && Current->supersedes(Entry.Record)) {
+        if (Current && State->directory().supersedes(*Current, Entry.Record)) {
           logWarning("endpoint_superseded", {{"server", Id}});
           State->merge(*Current);
           return;
         }
-        bool IsStored = isStored(Entry.Record) ||
-                        (Current && !Entry.Record.supersedes(*Current));
+        bool IsStored =
+            isStored(Entry.Record) ||
+            (Current && !State->directory().supersedes(Entry.Record, *Current));
         if (IsStored)
           onWritten(MeshEndpoint(Entry.Record), Read.value().Version);
         else
@@ -738,6 +750,15 @@
   });
 }
 
+void StoreSync::withdraw(const std::string &Id) {
+  auto Found = Publications.find(Id);
+  if (Found != Publications.end() && Found->second.Record.leaves())
+    return;
+  if (Found != Publications.end())
+    Publications.erase(Found);
+  removeRecord(Id);
+}
+
 void StoreSync::removeRecord(const std::string &Id) {
   auto Found = Stored.find(Id);
   if (Found == Stored.end())
--- a/cyclamenwind/mesh/store_sync.h
+++ b/cyclamenwind/mesh/store_sync.h
@@ -81,6 +81,7 @@
 
   void publish(const MeshEndpoint &Record,
                std::function<void(bool Stored)> OnDone) override;
+  void withdraw(const std::string &Id) override;
   size_t unwrittenDepartures() const override;
 
   // Removes the platform's record of a server that left or whose host is dead.
@@ -197,6 +198,7 @@
   std::optional<MeshEndpoint> recordOf(const PlatformObject &Object) const;
   void mergeEndpoint(const PlatformObject &Object);
   void onUnreadableRecord(const PlatformObject &Object);
+  void writeAgain(const std::string &Id);
   void flushAnnouncements();
   void announceEndpoint(const PlatformObject &Object);
   std::map<std::string, std::vector<Address>>
--- a/testing/mesh_world.h
+++ b/testing/mesh_world.h
@@ -158,6 +158,7 @@
     Published[Record.Id] = Text;
     OnDone(true);
   }
+  void withdraw(const std::string &Id) override { Published.erase(Id); }
   size_t unwrittenDepartures() const override { return Unwritten; }
   size_t Unwritten = 0;
   bool &Answers;
@@ -257,7 +258,8 @@
       NewDaemon.State->merge(Endpoint);
     if (EndpointsListed)
       NewDaemon.State->setEndpointsListed();
-    NewDaemon.State->apply(Config, "");
+    if (ConfigKnown)
+      NewDaemon.State->apply(Config, "");
     NewDaemon.Peers->handle(
         FrameType::EndpointAnnounce,
         [State = NewDaemon.State](const Address &From,
@@ -283,8 +285,8 @@
     // The new daemon receives the records of all servers that exist already.
     for (Daemon &Other : Daemons)
       if (Other.Services && &Other != &NewDaemon)
-        for (const auto &[Id, Endpoint] : Other.State->directory().all())
-          NewDaemon.State->merge(Endpoint);
+        for (const MeshEndpoint *Endpoint : Other.State->directory().merged())
+          NewDaemon.State->merge(*Endpoint);
   }
 
   ServerReport reportOf(size_t Index, int64_t Sequence, bool Draining = false) {
@@ -348,6 +350,7 @@
   bool FirstStart = true;      // Of the daemons that are added.
   bool Reporting = true;       // Servers report when their daemon starts.
   bool EndpointsListed = true; // Daemons have listed the platform's records.
+  bool ConfigKnown = true;     // Daemons have the configuration at their start.
   bool PeersTell = true;       // Daemons that start get the records of others.
   std::deque<Daemon> Daemons;
   int Sent = 0;
--- a/tests/mesh_endpoint_directory_test.cpp
+++ b/tests/mesh_endpoint_directory_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace cyclamenwind;
 
 namespace {
@@ -92,3 +94,89 @@
   CHECK(Directory.ready("quote").empty());
   CHECK(Directory.merge(server("s", 200, 1)));
 }
+
+namespace {
+
+MeshEndpoint ofService(MeshEndpoint Endpoint, const std::string &Service) {
+  Endpoint.Service = Service;
+  return Endpoint;
+}
+
+} // namespace
+
+// Guards against a result that depends on what became known first: the server,
+// a later record at its address, or the configuration.
+TEST_CASE("a record of a service that is not named replaces no server, in any "
+          "order") {
+  MeshEndpoint Server = server("s", 100, 5);
+  MeshEndpoint Foreign = ofService(server("f", 200, 1), "retired");
+  std::vector<int> Order = {0, 1, 2};
+  do {
+    EndpointDirectory Directory;
+    for (int Step : Order) {
+      if (Step == 0)
+        Directory.setServices({"quote"});
+      else
+        Directory.merge(Step == 1 ? Server : Foreign);
+    }
+    CHECK(Directory.ready("quote").size() == 1);
+    CHECK(Directory.merge(server("s", 100, 6)));
+    CHECK(Directory.merge(server("s", 100, 7, EndpointState::Draining)));
+    CHECK(Directory.ready("quote").empty());
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
+// Guards against servers that ended and come back with the removal of the
+// server that had taken their address.
+TEST_CASE("a replaced server stays replaced when its successor is removed") {
+  EndpointDirectory Directory;
+  Directory.setServices({"quote", "index"});
+  Directory.merge(server("old", 100, 5));
+  Directory.merge(ofService(server("new", 200, 1), "index"));
+  Directory.remove("new");
+  CHECK(Directory.find("old")->State == EndpointState::Gone);
+  CHECK_FALSE(Directory.merge(server("old", 100, 6)));
+  CHECK(Directory.find("old")->State == EndpointState::Gone);
+  // Started again under its id.
+  CHECK(Directory.merge(server("old", 300, 1)));
+  CHECK(Directory.ready("quote").size() == 1);
+}
+
+TEST_CASE("a record that was withdrawn replaces no server when its service is "
+          "named later") {
+  EndpointDirectory Directory;
+  Directory.setServices({"quote"});
+  Directory.merge(server("s", 100, 5));
+  Directory.merge(ofService(server("f", 200, 1), "retired"));
+  Directory.remove("f");
+  Directory.setServices({"quote", "retired"});
+  CHECK(Directory.ready("quote").size() == 1);
+}
+
+TEST_CASE("replacements are reported once, when they begin and when they end") {
+  EndpointDirectory Directory;
+  Directory.merge(server("s", 100, 5));
+  Directory.merge(ofService(server("f", 200, 1), "retired"));
+  std::vector<EndpointDirectory::Replacement> Begun =
+      Directory.takeReplacements();
+  REQUIRE(Begun.size() == 1);
+  CHECK(Begun[0].Id == "s");
+  CHECK(Begun[0].Successor == "f");
+  Directory.setServices({"quote"});
+  std::vector<EndpointDirectory::Replacement> Ended =
+      Directory.takeReplacements();
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended[0].Successor.empty());
+  CHECK(Directory.takeReplacements().empty());
+}
+
+// Guards against a daemon that spreads what follows from its own, older
+// configuration.
+TEST_CASE("other daemons get records as they were merged") {
+  EndpointDirectory Directory;
+  Directory.merge(server("s", 100, 5));
+  Directory.merge(ofService(server("f", 200, 1), "retired"));
+  REQUIRE(Directory.find("s")->State == EndpointState::Gone);
+  for (const MeshEndpoint *Record : Directory.merged())
+    CHECK(Record->State == EndpointState::Ready);
+}
--- a/tests/mesh_store_sync_test.cpp
+++ b/tests/mesh_store_sync_test.cpp
@@ -17,9 +17,15 @@
 
 namespace {
 
-std::string configText(int Version) {
+std::string configText(int Version,
+                       const std::vector<std::string> &Services = {}) {
+  std::string List;
+  for (const std::string &Name : Services)
+    List += (List.empty() ? "" : ", ") + ("{\"name\": \"" + Name + "\"") +
+            R"(, "healthPath": "/health"})";
   return R"({"version": )" + std::to_string(Version) +
-         R"(, "routes": [], "services": [], "limits": {"maxHeaderBytes": 1000,
+         R"(, "routes": [], "services": [)" + List +
+         R"(], "limits": {"maxHeaderBytes": 1000,
             "maxBodyBytes": 1000, "headerTimeoutMs": 1000,
             "idleTimeoutMs": 1000}})";
 }
@@ -558,6 +564,85 @@
   CHECK(Fleet[1]->State->directory().find("i-1") != nullptr);
 }
 
+// Guards against a server that is lost because another writer has stored a
+// record of a service that is not named under its id.
+TEST_CASE("the record of a server that another writer replaced by one of a "
+          "service that is not named is written again") {
+  bool ConfigFirst = GENERATE(false, true);
+  StoreWorld World;
+  auto Fleet = World.fleet(2);
+  if (ConfigFirst)
+    World.operatorWrites("config/main", configText(1, {"quote"}));
+  World.Time.advance(3s);
+  MeshEndpoint Foreign = server("i-1", 1000, EndpointState::Ready, 5000);
+  Foreign.Service = "retired";
+  World.operatorWrites("endpoints/i-1", formatEndpoint(Foreign));
+  World.Time.advance(3s);
+  if (!ConfigFirst) {
+    World.operatorWrites("config/main", configText(1, {"quote"}));
+    World.Time.advance(3s);
+    // The server's next report.
+    Fleet[0]->State->mergeFromOwner(server("i-1", 2));
+    Fleet[0]->Store->publish(server("i-1", 2), [](bool) {});
+  }
+  World.Time.advance(3s);
+  Result<PlatformObject, PlatformError> Object =
+      World.Platform.Store.read("endpoints/i-1");
+  REQUIRE(Object);
+  CHECK(parseEndpoint(Object.value().Value)->Service == "quote");
+  for (const auto &Each : Fleet) {
+    REQUIRE(Each->State->directory().find("i-1"));
+    CHECK(Each->State->directory().find("i-1")->Service == "quote");
+    CHECK(Each->State->directory().ready("quote").size() == 2);
+  }
+}
+
+TEST_CASE("a withdrawn record is removed from the platform and from all "
+          "daemons, but not a departure") {
+  StoreWorld World;
+  auto Fleet = World.fleet(3);
+  World.operatorWrites("config/main", configText(1, {"quote"}));
+  MeshEndpoint Foreign = server("i-other", 1, EndpointState::Ready, 5000);
+  Foreign.Service = "retired";
+  Fleet[0]->Store->publish(Foreign, [](bool) {});
+  Fleet[0]->Store->publish(server("i-1", 2, EndpointState::Draining),
+                           [](bool) {});
+  World.Time.advance(8s);
+  for (const auto &Each : Fleet)
+    REQUIRE(Each->State->directory().find("i-other"));
+  Fleet[0]->Store->withdraw("i-other");
+  Fleet[0]->Store->withdraw("i-1");
+  World.Time.advance(10s);
+  CHECK_FALSE(World.Platform.Store.read("endpoints/i-other"));
+  CHECK(World.Platform.Store.read("endpoints/i-1"));
+  for (const auto &Each : Fleet) {
+    CHECK(Each->State->directory().find("i-other") == nullptr);
+    CHECK(Each->State->directory().find("i-1") != nullptr);
+  }
+}
+
+// Guards against a daemon that does not know the configuration and tells others
+// that a server is gone.
+TEST_CASE("a daemon without a configuration passes on records as it got them") {
+  StoreWorld World;
+  World.Platform.Outage = true;
+  auto Asked = World.daemon("10.0.0.1");
+  auto Asking = World.daemon("10.0.0.2");
+  MeshEndpoint Foreign = server("i-other", 1, EndpointState::Ready, 5000);
+  Foreign.Service = "retired";
+  Asked->State->merge(server("i-1", 1));
+  Asked->State->merge(Foreign);
+  World.Network.inject({"10.0.0.2", 7000}, {"10.0.0.1", 7000},
+                       FrameType::StatePull, encodeMessage(wire::StatePull()));
+  World.Time.advance(100ms);
+  REQUIRE(Asking->State->directory().find("i-1"));
+  MeshConfig Config;
+  Config.Revision = 1;
+  Config.Services = {{"quote", "/health"}};
+  Asking->State->apply(Config, "");
+  CHECK(Asking->State->directory().ready("quote").size() == 1);
+}
+
 TEST_CASE("configuration changes: calls to the platform do not grow with the "
           "number of hosts") {
   int Hosts = GENERATE(24, 96);
