Responses without end fail at their limit and no longer hold memory

Here no process ran out of memory, but callers waited until their deadline and other responses found no memory meanwhile.

Cause: the limits of the parser were on what it stores. Extensions of chunks, blanks, interim responses and responses to other requests are dropped, so such a response was read until the request's deadline. Bodies without a declared length, each below its limit, could fill the memory budget together; then each waited for memory that only they held, until its deadline.

Change: the parser counts all bytes of a message, and rejects a chunk by its size. The client bounds interim responses (16 KB) and responses to other requests (8) for each request. Responses without a declared length that hold a quarter of the budget and wait for more give way after a second, the largest first. The parser's limits hold for callers' requests as well. New log line response_rejected with the reason and the bytes read.

--- a/cyclamenwind/http/message_parser.cpp
+++ b/cyclamenwind/http/message_parser.cpp
@@ -1,5 +1,6 @@
 #include "cyclamenwind/http/message_parser.h"
 
+#include "cyclamenwind/base/names.h"
 #include "cyclamenwind/base/text.h"
 
 #include <algorithm>
@@ -52,6 +53,16 @@
 constexpr size_t HeaderLineMemory = 256;
 // Copies of the bytes of a head that exist at a time.
 constexpr size_t HeadCopies = 3;
+// What a chunk may take beside its bytes and extensions: a size of 16 digits
+// and the line breaks after it and after the bytes.
+constexpr size_t ChunkFramingBytes = 20;
+
+constexpr std::array<EnumName<ParseError>, 4> ParseErrorNames = {{
+    {ParseError::None, "none"},
+    {ParseError::Malformed, "malformed"},
+    {ParseError::HeadersTooLarge, "headers_too_large"},
+    {ParseError::BodyTooLarge, "body_too_large"},
+}};
 
 bool isDigit(char Letter) { return Letter >= '0' && Letter <= '9'; }
 
@@ -77,6 +88,10 @@
 
 } // namespace
 
+std::string_view nameOf(ParseError Error) {
+  return nameIn(ParseErrorNames, Error);
+}
+
 struct MessageParser::State {
   http_parser Parser;
   MessageKind Kind;
@@ -87,6 +102,8 @@
   std::string Body;
   std::optional<size_t> DeclaredBody;
   size_t HeaderBytes = 0;
+  size_t AllBytes = 0; // Of the current message, as they were received.
+  size_t Chunks = 0;
   bool LastCallbackWasValue = true;
   bool Started = false;
   bool StatusLineComplete = false;
@@ -113,13 +130,14 @@
     Headers.clear();
     Body.clear();
     DeclaredBody.reset();
-    HeaderBytes = 0;
+    HeaderBytes = AllBytes = Chunks = 0;
     LastCallbackWasValue = true;
     StatusLine.clear();
     Started = StatusLineComplete = HeadersComplete = Ready = false;
   }
 
   void checkStatusLine(std::string_view Bytes);
+  void checkFraming();
   static const http_parser_settings &settings();
 };
 
@@ -147,6 +165,18 @@
   }
 }
 
+// Checks the number of received bytes that belong neither to a header nor to
+// the body; http_parser does not limit all of them. Extensions of chunks may be
+// as long as the body.
+void MessageParser::State::checkFraming() {
+  size_t Useful = HeaderBytes + Body.size();
+  size_t Framing = AllBytes - std::min(AllBytes, Useful);
+  if (Framing >
+      Limits.MaxHeaderBytes + Chunks * ChunkFramingBytes + Body.size())
+    Error = HeadersComplete ? ParseError::BodyTooLarge
+                            : ParseError::HeadersTooLarge;
+}
+
 const http_parser_settings &MessageParser::State::settings() {
   static const http_parser_settings Settings = [] {
     http_parser_settings Callbacks;
@@ -198,6 +228,14 @@
       return Self.Kind == MessageKind::Response && Self.ResponseHasNoBody ? 1
                                                                           : 0;
     };
+    Callbacks.on_chunk_header = [](http_parser *Raw) {
+      State &Self = of(Raw);
+      ++Self.Chunks;
+      if (Raw->content_length <= Self.Limits.MaxBodyBytes - Self.Body.size())
+        return 0;
+      Self.Error = ParseError::BodyTooLarge;
+      return 1;
+    };
     Callbacks.on_body = [](http_parser *Raw, const char *Data, size_t Length) {
       State &Self = of(Raw);
       if (Self.Body.size() + Length > Self.Limits.MaxBodyBytes) {
@@ -246,6 +284,7 @@
   }
   size_t Used = http_parser_execute(&Impl->Parser, &State::settings(),
                                     Bytes.data(), Bytes.size());
+  Impl->AllBytes += Used;
   http_errno Code = HTTP_PARSER_ERRNO(&Impl->Parser);
   if (Code == HPE_PAUSED) {
     http_parser_pause(&Impl->Parser, 0);
@@ -255,6 +294,8 @@
   if (Impl->Error == ParseError::None && (Code != HPE_OK || Upgraded))
     Impl->Error = Code == HPE_HEADER_OVERFLOW ? ParseError::HeadersTooLarge
                                               : ParseError::Malformed;
+  if (Impl->Error == ParseError::None)
+    Impl->checkFraming();
   return Used;
 }
 
--- a/cyclamenwind/http/message_parser.h
+++ b/cyclamenwind/http/message_parser.h
@@ -10,6 +10,12 @@
 // three digits from 100 to 599, and either nothing or a space and a reason
 // without control characters: http_parser takes 000, 999 and HTTP/9.9 for good
 // ones.
+//
+// A message without end is rejected as soon as it exceeds a limit. All its
+// bytes count, also those that are not kept: empty lines before it, blanks
+// around a header's value, and the size, extension and line breaks of each
+// chunk. A chunk whose size alone exceeds the limit of the body is rejected
+// before its bytes are read.
 
 #ifndef CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
 #define CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
@@ -29,9 +35,11 @@
   None,
   Malformed,
   HeadersTooLarge,
-  BodyTooLarge,
+  BodyTooLarge, // The body, or what is around its bytes.
 };
 
+std::string_view nameOf(ParseError Error);
+
 struct ParserLimits {
   size_t MaxHeaderBytes = 16 * 1024;
   size_t MaxBodyBytes = 4 * 1024 * 1024;
--- a/cyclamenwind/http/pooled_client.cpp
+++ b/cyclamenwind/http/pooled_client.cpp
@@ -1,8 +1,11 @@
 #include "cyclamenwind/http/pooled_client.h"
 
 #include "cyclamenwind/base/log.h"
+#include "cyclamenwind/base/names.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cyclamenwind {
 namespace {
@@ -17,10 +20,30 @@
 // A response of this size is read also when there is no memory left.
 constexpr size_t UnchargedBytes = 4 * 1024;
 constexpr Duration MemoryRetryPeriod = 20ms;
+// Responses that wait for memory block each other if they hold this part of the
+// budget; with less, others hold the memory, and waiting for them is of use.
+constexpr size_t BlockingShare = 4;
 // Of a connection in the kernel: what a server sends while its response is not
 // read. Its default is megabytes for each connection.
 constexpr size_t ReceiveBufferBytes = 64 * 1024;
 
+// Why the call is ended because of what the server sends, beside ParseError.
+enum class Rejection {
+  InterimResponses, // Too many bytes of them.
+  SkippedResponses, // Too many responses to other requests.
+  NoMemory,         // It blocks the memory that others wait for.
+};
+
+constexpr std::array<EnumName<Rejection>, 3> RejectionNames = {{
+    {Rejection::InterimResponses, "interim_responses"},
+    {Rejection::SkippedResponses, "skipped_responses"},
+    {Rejection::NoMemory, "no_memory"},
+}};
+
+std::string_view nameOf(Rejection Reason) {
+  return nameIn(RejectionNames, Reason);
+}
+
 std::string serialize(const HttpRequest &Request, const Address &To) {
   std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   if (findHeader(Request.Headers, "Host") == nullptr)
@@ -93,10 +116,14 @@
         Charge(Pool.Options.Memory, MemoryKind::Responses) {}
   ~Call() override {
     countBuffered(0);
+    endWait();
     if (ActiveConnection && *PoolAlive)
       Pool->destroyLater(std::move(ActiveConnection));
   }
 
+  // Bytes of the response's body that were received.
+  size_t buffered() const { return Buffered; }
+
   bool sent() const override {
     return Sent || (ActiveConnection && ActiveConnection->Stream.sentAny());
   }
@@ -120,10 +147,12 @@
     while (!Bytes.empty()) {
       size_t Consumed = ActiveConnection->Parser.feed(Bytes);
       Bytes.remove_prefix(Consumed);
-      if (ActiveConnection->Parser.error() != ParseError::None) {
-        fail(ActiveConnection->Parser.error() == ParseError::BodyTooLarge
-                 ? HttpClientErrorCode::ResponseTooLarge
-                 : HttpClientErrorCode::BadResponse);
+      MessageBytes += Consumed;
+      ParseError Error = ActiveConnection->Parser.error();
+      if (Error != ParseError::None) {
+        reject(nameOf(Error), Error == ParseError::BodyTooLarge
+                                  ? HttpClientErrorCode::ResponseTooLarge
+                                  : HttpClientErrorCode::BadResponse);
         return;
       }
       countBuffered(ActiveConnection->Parser.bufferedBytes());
@@ -158,21 +187,32 @@
   }
 
 private:
-  // Handles a complete message. Returns whether it completed the call.
+  // Handles a complete message. Returns whether the call has ended.
   bool onMessage(std::string_view Surplus) {
     ParsedMessage Message = ActiveConnection->Parser.take();
+    size_t Bytes = std::exchange(MessageBytes, 0);
     constexpr int FirstFinalStatus = 200;
-    if (Message.Response.Status < FirstFinalStatus)
-      return false;
+    if (Message.Response.Status < FirstFinalStatus) {
+      InterimBytes += Bytes;
+      if (InterimBytes <= Pool->Options.MaxInterimBytes)
+        return false;
+      reject(nameOf(Rejection::InterimResponses),
+             HttpClientErrorCode::BadResponse);
+      return true;
+    }
     if (Pool->Options.Matches &&
         !Pool->Options.Matches(Request, Message.Response, Reused)) {
       logWarning("response_of_another_request",
                  {{"from", ActiveConnection->To.text()},
                   {"status", Message.Response.Status}});
-      SkippedResponse = true;
-      return false;
+      if (++SkippedResponses <= Pool->Options.MaxSkippedResponses)
+        return false;
+      reject(nameOf(Rejection::SkippedResponses),
+             HttpClientErrorCode::BadResponse);
+      return true;
     }
-    bool Reusable = Message.KeepAlive && Surplus.empty() && !SkippedResponse &&
+    bool Reusable = Message.KeepAlive && Surplus.empty() &&
+                    SkippedResponses == 0 &&
                     ActiveConnection->Stream.unsentBytes() == 0;
     std::unique_ptr<Connection> Released = std::move(ActiveConnection);
     Released->ActiveCall = nullptr;
@@ -197,17 +237,44 @@
 
   void waitForMemory() {
     ActiveConnection->Stream.pauseReading();
+    if (!WaitsSince)
+      WaitsSince = Pool->TheLoop.now();
+    if (!ActiveConnection->Parser.declaredBodyBytes())
+      Pool->Waiting.insert(this);
     MemoryTimer = Pool->TheLoop.after(MemoryRetryPeriod, [this] {
       TimerHandle Fired = std::move(MemoryTimer);
       if (!ActiveConnection)
         return;
-      if (claimMemory())
+      if (claimMemory()) {
+        endWait();
         ActiveConnection->Stream.resumeReading();
-      else
+      } else if (Pool->TheLoop.now() - *WaitsSince >=
+                     Pool->Options.MaxMemoryWait &&
+                 Pool->mustMakeRoom(*this)) {
+        Pool->Options.Memory->countShed(ShedCause::Response);
+        reject(nameOf(Rejection::NoMemory),
+               HttpClientErrorCode::ResponseTooLarge);
+      } else {
         waitForMemory();
+      }
     });
   }
 
+  void endWait() {
+    WaitsSince.reset();
+    if (*PoolAlive)
+      Pool->Waiting.erase(this);
+  }
+
+  // Ends the call because of what the server sent.
+  void reject(std::string_view Reason, HttpClientErrorCode Code) {
+    logWarning("response_rejected", {{"from", ActiveConnection->To.text()},
+                                     {"reason", Reason},
+                                     {"message_bytes", MessageBytes},
+                                     {"body_bytes", Buffered}});
+    fail(Code);
+  }
+
   void fail(HttpClientErrorCode Code) {
     bool WasSent = sent();
     bool MayConcernOthers = Code == HttpClientErrorCode::TimedOut ||
@@ -229,6 +296,7 @@
 
   void finish(Result<HttpResponse, HttpClientError> Outcome) {
     countBuffered(0);
+    endWait();
     Charge.set(0);
     TimeoutTimer.reset();
     MemoryTimer.reset();
@@ -247,10 +315,14 @@
   TimerHandle MemoryTimer; // Set while the response waits for memory.
   MemoryCharge Charge;
   TimePoint StartedAt;
-  size_t Buffered = 0; // Bytes of the response that were received.
+  size_t Buffered = 0;     // Bytes of the response's body that were received.
+  size_t MessageBytes = 0; // Bytes of the current message that were received.
+  size_t InterimBytes = 0; // Of all interim responses.
+  int SkippedResponses = 0;
+  // Set while the response waits for memory.
+  std::optional<TimePoint> WaitsSince;
   bool Reused = false;
   bool Sent = false;
-  bool SkippedResponse = false;
 };
 
 void PooledClient::Connection::onReceived(std::string_view Bytes) {
@@ -360,6 +432,19 @@
          ResponseBytes > Options.MaxBufferedBytes / LargeResponses;
 }
 
+// Whether the responses that wait for memory and have no declared length block
+// each other, and none of them holds more than that of Candidate.
+bool PooledClient::mustMakeRoom(const Call &Candidate) const {
+  size_t Held = 0;
+  size_t Largest = 0;
+  for (const Call *Each : Waiting) {
+    Held += Each->buffered();
+    Largest = std::max(Largest, Each->buffered());
+  }
+  return Waiting.count(&Candidate) != 0 && Candidate.buffered() == Largest &&
+         Held >= Options.Memory->limit() / BlockingShare;
+}
+
 void PooledClient::sweep(TimePoint Now) {
   for (auto &[To, Connections] : IdleConnections)
     Connections.remove_if([&](const std::unique_ptr<Connection> &Candidate) {
--- a/cyclamenwind/http/pooled_client.h
+++ b/cyclamenwind/http/pooled_client.h
@@ -3,10 +3,18 @@
 //
 // Like HttpClient, it never sends a request twice and reports whether any byte
 // of the request was handed to the kernel. Unlike evhttp, it tolerates servers
-// that violate the protocol: it skips a response to an earlier request, does
-// not reuse a connection on which surplus bytes arrive or whose response
-// arrives before the request is completely written, and accepts a response
-// without a length only if the server closes the connection with FIN. If a
+// that violate the protocol: it skips responses to earlier requests, does not
+// reuse a connection on which surplus bytes arrive or whose response arrives
+// before the request is completely written, and accepts a response without a
+// length only if the server closes the connection with FIN.
+//
+// A response without end fails as soon as it exceeds a limit, not when its
+// request times out, and its connection is closed: the limits of the parser,
+// MaxInterimBytes for interim responses and MaxSkippedResponses for those to
+// other requests. If responses without a declared length take the memory that
+// each of them waits for, the largest fails after MaxMemoryWait.
+//
+// If a
 // request on a reused connection times out or the connection is lost, the
 // connections that were idle all the while are closed: what made one of them
 // fail, such as a middlebox that forgot it, may concern all.
@@ -20,6 +28,7 @@
 #include "cyclamenwind/http/message_parser.h"
 
 #include <list>
+#include <set>
 
 namespace cyclamenwind {
 
@@ -45,6 +54,14 @@
   Duration MaxIdleTime = 8s;
   Duration MaxIdleTimeNonIdempotent = 2s;
   ResponseMatcher Matches; // If empty, any response matches.
+  // Of all interim responses to one request.
+  size_t MaxInterimBytes = 16 * 1024;
+  // Responses to other requests that one request may find before its own. Each
+  // earlier request on a connection may leave a late one.
+  int MaxSkippedResponses = 8;
+  // How long responses without a declared length wait for memory until the
+  // largest of them fails.
+  Duration MaxMemoryWait = 1s;
 };
 
 class PooledClient final : public HttpSender {
@@ -78,6 +95,7 @@
   void destroyLater(std::unique_ptr<Connection> Ended);
   void sweep(TimePoint Now);
   bool mustGiveUp(size_t ResponseBytes) const;
+  bool mustMakeRoom(const Call &Candidate) const;
 
   Loop &TheLoop;
   PooledClientOptions Options;
@@ -85,6 +103,8 @@
   TimerHandle SweepTimer;
   uint64_t Opened = 0;
   size_t BufferedBytes = 0; // Of all responses that are being received.
+  // Calls whose responses have no declared length and wait for memory.
+  std::set<const Call *> Waiting;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/testing/mesh_processes.py
+++ b/testing/mesh_processes.py
@@ -334,6 +334,7 @@
         self.name = f"sidecar-{zone}-{index}"
         self.settings_file = os.path.join(mesh.folder, f"{self.name}.toml")
         self.log_path = os.path.join(mesh.folder, f"{self.name}.log")
+        self.bootstrap = True  # The system starts for the first time.
         self.process = None
         self.peak_descriptors = 0
         self.peak_bytes = 0  # Resident and received but not read, at one time.
@@ -353,7 +354,7 @@
 region = "nbo"
 portRange = [{PEER_PORTS[0]},{PEER_PORTS[1]}]
 seeds = []
-bootstrap = true
+bootstrap = {str(self.bootstrap).lower()}
 lossCounts = false
 discovery = "local"
 entry = "local"
--- a/tests/http_pipeline_server_test.cpp
+++ b/tests/http_pipeline_server_test.cpp
@@ -113,6 +113,45 @@
   CHECK(Setup.exchange("GET / HTTP/1.1\r\nHo").starts_with("HTTP/1.1 408"));
 }
 
+// Guards against callers whose requests are read without end because no limit
+// counts what is not kept.
+TEST_CASE("a request without end is refused when it exceeds a limit") {
+  const std::string Head = "POST /x HTTP/1.1\r\nHost: a\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  auto [First, Again, Status] =
+      GENERATE_COPY(table<std::string, std::string, std::string>({
+          {"", "\r\n", "431"},
+          {Head + "A:", " ", "431"},
+          {Head + "A: b\r\n", " \r\n", "431"},
+          {Chunked, "0", "413"},
+          {Chunked + "1;", "x", "413"},
+          {Chunked, "1;" + std::string(500, 'e') + "\r\nx\r\n", "413"},
+          {Chunked + "ffffff\r\n", "x", "413"},
+          {Chunked + "0\r\nA:", " ", "413"},
+      }));
+  INFO(First << "..." << Again);
+  Fixture Setup(18171);
+  std::string Bytes = First;
+  while (Bytes.size() < 64 * 1024)
+    Bytes += Again;
+  CHECK(Setup.exchange(Bytes).starts_with("HTTP/1.1 " + Status));
+  CHECK(Setup.Received.empty());
+}
+
+TEST_CASE("a chunked body whose extensions are as long as it is read") {
+  Fixture Setup(18172);
+  std::string Chunk =
+      "64;e=" + std::string(98, 'e') + "\r\n" + std::string(100, 'x') + "\r\n";
+  std::string Body;
+  for (int I = 0; I < 100; ++I)
+    Body += Chunk;
+  auto Stream = Setup.send("POST /x HTTP/1.1\r\nHost: a\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n" +
+                               Body + "0\r\n\r\n",
+                           1);
+  CHECK(Setup.Received[0]->request().Body.size() == 10000);
+}
+
 TEST_CASE("requests before a malformed one are still answered") {
   Fixture Setup(18105);
   auto Stream = Setup.send(get("/1") + "garbage\r\n\r\n", 1);
--- a/tests/http_pooled_client_test.cpp
+++ b/tests/http_pooled_client_test.cpp
@@ -269,6 +269,187 @@
   CHECK(Setup.request("2").value().Body == "b");
 }
 
+// Guards against requests that wait until their deadline for a response which
+// cannot come any more, while its connection is read on and on.
+TEST_CASE("a response without end fails when it exceeds a limit, not at the "
+          "deadline") {
+  struct EndlessResponse {
+    std::string First; // What the server sends first,
+    std::string Again; // and then again and again.
+    bool IsBody = false;
+  };
+  const std::string Head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Other = "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: ";
+  auto Endless = GENERATE_COPY(values<EndlessResponse>({
+      {"", "\r\n"},
+      {"HTTP/1.1 100 Continue\r\n\r\n", "\r\n"},
+      {"", "x"},
+      {"HTTP/1.1 200 ", "x"},
+      {"HTTP/1.1 200 OK\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+      {"HTTP/1.1 200 OK\r\nA:", " "},
+      {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+      {"HTTP/1.1 200 OK\r\nA: b\r\n", " \r\n"},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+      {"", Other + "1\r\n\r\nx"},
+      {"", Other + "60000\r\n\r\n" + std::string(60000, 'x')},
+      {Head + "Content-Length: 99999999999\r\n\r\n", "x"},
+      {Chunked, "1\r\nx\r\n", true},
+      {Chunked, "4000\r\n" + std::string(0x4000, 'x') + "\r\n", true},
+      {Chunked + "ffffffff\r\n", "x"},
+      {Chunked, "0"},
+      {Chunked + "1", " "},
+      {Chunked + "1;", "x"},
+      {Chunked, "1;" + std::string(500, 'e') + "\r\nx\r\n"},
+      {Chunked, "0000000000000000000000000000000001\r\nx\r\n"},
+      {Head + "\r\n", "x", true},
+      {Chunked + "0\r\n", "A: b\r\n"},
+      {Chunked + "0\r\nA: ", "x"},
+      {Chunked + "0\r\nA:", " "},
+  }));
+  bool OnKeptConnection = GENERATE(false, true);
+  INFO(Endless.First.substr(0, 80) << "..." << Endless.Again.substr(0, 80));
+  Fixture Setup(18212);
+  if (OnKeptConnection) {
+    Setup.Responses = {response("0", "a")};
+    REQUIRE(Setup.request("0"));
+  }
+  Setup.Server->Streams.resize(OnKeptConnection ? 1 : 0);
+  std::string Part;
+  while (Part.size() < 16 * 1024)
+    Part += Endless.Again;
+  std::optional<Outcome> Ended;
+  auto Call = Setup.Client->send(Setup.Listen, {"GET", "/", {{"Id", "1"}}, ""},
+                                 600s, [&](Outcome Final) { Ended = Final; });
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    return !Setup.Server->Streams.empty() &&
+           !Setup.Server->Streams[0]->Received.empty();
+  }));
+  RawStream &Server = *Setup.Server->Streams[0];
+  Server.write(Endless.First);
+  size_t Sent = 0;
+  // What is in the kernel, and in the server's buffer, when the call ends.
+  constexpr size_t Unread = 2 << 20;
+  size_t Most = (Endless.IsBody ? 8 * Fixture::MaxBody : 0) + Unread;
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    if (!Server.Ended && !Ended && Sent < 2 * Most) {
+      Server.write(Part);
+      Sent += Part.size();
+    }
+    return Ended.has_value() && Server.Ended;
+  }));
+  CHECK_FALSE(*Ended);
+  CHECK(Sent <= Most);
+  Setup.Responses = {response("2", "b")};
+  Setup.NextResponse = 0;
+  CHECK(Setup.request("2").value().Body == "b");
+}
+
+TEST_CASE("bytes without end behind a complete response close its connection") {
+  std::string Again =
+      GENERATE("x", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 1\r\n\r\nx");
+  bool InOneSegment = GENERATE(false, true);
+  Fixture Setup(18213);
+  std::string Part;
+  while (Part.size() < 16 * 1024)
+    Part += Again;
+  Setup.Responses = {response("1", "a") + (InOneSegment ? Part : "")};
+  CHECK(Setup.request("1").value().Body == "a");
+  RawStream &Server = *Setup.Server->Streams[0];
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    if (!Server.Ended)
+      Server.write(Part);
+    return Server.Ended;
+  }));
+  Setup.Responses = {response("2", "b")};
+  Setup.NextResponse = 0;
+  CHECK(Setup.request("2").value().Body == "b");
+}
+
+TEST_CASE("legal but unusual responses are within the limits") {
+  std::string Chunk = "000000000000000a;name=value\r\n0123456789\r\n";
+  std::string Body;
+  for (int I = 0; I < 500; ++I)
+    Body += Chunk;
+  std::string Interim;
+  for (int I = 0; I < 50; ++I)
+    Interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  std::string Late;
+  for (int I = 0; I < 8; ++I)
+    Late += response("0", "late");
+  Fixture Setup(18214);
+  Setup.Responses = {"\r\n\r\n" + Interim + Late +
+                     "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\r\n c\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n" +
+                     Body + "0\r\nTrailer: a\r\n\r\n"};
+  CHECK(Setup.request("1").value().Body.size() == 5000);
+}
+
+// Guards against responses without end that take all memory, each too little to
+// exceed its limit, and keep it until their deadlines.
+TEST_CASE("responses that block each other's memory make room for others") {
+  constexpr size_t Blocking = 6;
+  const std::string Part(4000, 'x');
+  auto [Head, Again] = GENERATE_COPY(table<std::string, std::string>({
+      {"HTTP/1.1 200 OK\r\n\r\n", Part},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "fa0\r\n" + Part + "\r\n"},
+  }));
+  MemoryBudget Budget(400000);
+  Loop TheLoop;
+  Address Listen = loopbackAddress(18262);
+  std::vector<RawStream *> Endless;
+  RawListener Server(TheLoop, Listen, [&, Head = Head](RawStream &Stream) {
+    if (Stream.Received.find("\r\n\r\n") == std::string::npos)
+      return;
+    bool IsOrdinary = Stream.Received.starts_with("GET /ordinary");
+    Stream.Received.clear();
+    Stream.write(IsOrdinary ? response("1", std::string(60000, 'x')) : Head);
+    if (!IsOrdinary)
+      Endless.push_back(&Stream);
+  });
+  PooledClientOptions Options;
+  Options.Memory = &Budget;
+  Options.Parser.MaxBodyBytes = 200000;
+  PooledClient Client(TheLoop, Options);
+  std::vector<std::unique_ptr<HttpCall>> Calls;
+  size_t Failed = 0;
+  for (size_t I = 0; I < Blocking; ++I)
+    Calls.push_back(Client.send(Listen, {"GET", "/", {}, ""}, 600s,
+                                [&](Outcome Final) { Failed += !Final; }));
+  std::map<RawStream *, size_t> Sent;
+  auto SendOn = [&, Again = Again] {
+    for (RawStream *Stream : Endless)
+      if (!Stream->Ended && Sent[Stream] < 2 * Options.Parser.MaxBodyBytes) {
+        Stream->write(Again);
+        Sent[Stream] += Again.size();
+      }
+  };
+  REQUIRE(runUntil(TheLoop, [&] {
+    SendOn();
+    return !Budget.hasRoom(MemoryKind::Responses, 60000);
+  }));
+  std::optional<Outcome> Ended;
+  auto Ordinary = Client.send(Listen, {"GET", "/ordinary", {}, ""}, 600s,
+                              [&](Outcome Final) { Ended = Final; });
+  REQUIRE(runUntil(TheLoop, [&] {
+    SendOn();
+    return Ended.has_value();
+  }));
+  CHECK(Ended->value().Body.size() == 60000);
+  // In the end, all of them fail.
+  CHECK(runUntil(TheLoop, [&] {
+    SendOn();
+    return Failed == Blocking;
+  }));
+  CHECK(Budget.used() == 0);
+}
+
 TEST_CASE("many responses without end together do not take more memory than "
           "allowed, and small responses pass") {
   Fixture Setup(18211);
