HttpClient: a response without end takes bounded memory

Same fault as in the client of the mesh daemon, in the daemon of the project's own interface: evhttp has no limit for a head by default, and keeps the line with the size of a chunk until it ends. A faulty server could so take all memory of the daemon that had called it.

Change: a limit of 64 KB for heads, and a high-water mark for what is read and not parsed yet, above the longest body.

--- a/cyclamenwind/http/client.cpp
+++ b/cyclamenwind/http/client.cpp
@@ -21,6 +21,8 @@
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAlivePeriodSeconds = 1;
 constexpr int KeepAliveProbes = 2;
+// Limit of a response's head. evhttp has none by default.
+constexpr size_t MaxHeadBytes = 64 * 1024;
 // Longer than any call's deadline, so that the deadline always ends a request
 // first.
 constexpr int EvhttpTimeoutSeconds = 3600;
@@ -298,8 +300,14 @@
       TheLoop.base(), nullptr, To.Host.c_str(), To.Port);
   evhttp_connection_set_retries(Connection, 0);
   evhttp_connection_set_timeout(Connection, EvhttpTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(Connection,
+                                         static_cast<ev_ssize_t>(MaxHeadBytes));
   evhttp_connection_set_max_body_size(
       Connection, static_cast<ev_ssize_t>(Options.MaxBodyBytes));
+  // evhttp keeps a line with the size of a chunk until it ends. It also keeps a
+  // body or a chunk with a length until it is complete.
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(Connection),
+                           EV_READ, 0, Options.MaxBodyBytes + MaxHeadBytes);
   ++Pools[To].OpenConnections;
   return Connection;
 }
--- a/testing/raw_tcp.cpp
+++ b/testing/raw_tcp.cpp
@@ -67,6 +67,12 @@
     bufferevent_write(Stream, Bytes.data(), Bytes.size());
 }
 
+size_t RawStream::unsentBytes() const {
+  return Stream == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_output(Stream));
+}
+
 void RawStream::close() {
   if (Stream == nullptr)
     return;
--- a/testing/raw_tcp.h
+++ b/testing/raw_tcp.h
@@ -37,6 +37,8 @@
   RawStream &operator=(const RawStream &) = delete;
 
   void write(std::string_view Bytes);
+  // Bytes written that the kernel has not taken yet.
+  size_t unsentBytes() const;
   void close();
 
   // Drops all segments that arrive from now on, so that none is acknowledged.
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -186,6 +186,51 @@
   CHECK(Setup.Client.connections(Setup.Listen) == 1);
 }
 
+// Guards against a server that sends without end: evhttp keeps what it cannot
+// parse yet.
+TEST_CASE("a response without end takes bounded memory") {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  auto [First, Again] = GENERATE_COPY(table<std::string, std::string>({
+      {"HTTP/1.1 200 ", "x"},
+      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {Chunked, "0"},
+      {Chunked + "1;", "x"},
+      {Chunked, "1\r\nx\r\n"},
+      {Chunked + "0\r\n", "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+  }));
+  INFO(First << "..." << Again);
+  std::string Part;
+  while (Part.size() < 16 * 1024)
+    Part += Again;
+  // More than the buffers of both kernels take.
+  constexpr size_t Most = 8 << 20;
+  RawStream *Endless = nullptr;
+  Fixture Setup([&, First = First](RawStream &Stream) {
+    Stream.Received.clear();
+    Stream.write(First);
+    Endless = &Stream;
+  });
+  std::optional<Result<HttpResponse, HttpClientError>> Outcome;
+  auto Call =
+      Setup.Client.send(Setup.Listen, {"GET", "/x", {}, ""}, 5s,
+                        [&](auto Ended) { Outcome = std::move(Ended); });
+  size_t Sent = 0;
+  REQUIRE(runUntil(Setup.TheLoop, [&] {
+    if (Endless != nullptr && !Endless->Ended && Sent < Most &&
+        Endless->unsentBytes() < Part.size()) {
+      Endless->write(Part);
+      Sent += Part.size();
+    }
+    return Outcome.has_value();
+  }));
+  CHECK_FALSE(*Outcome);
+  CHECK(Sent < Most);
+}
+
 TEST_CASE("a failed connect reports that nothing was sent") {
   Loop TheLoop;
   HttpClient Client(TheLoop, {});
