--- a/cyclamenwind/http/message_parser.h
+++ b/cyclamenwind/http/message_parser.h
@@ -14,8 +14,9 @@
 // A message without end is rejected as soon as it exceeds a limit. All its
 // bytes count, also those that are not kept: empty lines before it, blanks
 // around a header's value, and the size, extension and line breaks of each
-// chunk. A chunk whose size alone exceeds the limit of the body is rejected
-// before its bytes are read.
+// chunk. What is neither header nor body may take MaxHeaderBytes, 20 bytes for
+// each chunk, and as many as the body has. A chunk whose size alone exceeds the
+// limit of the body is rejected before its bytes are read.
 
 #ifndef CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
 #define CYCLAMENWIND_HTTP_MESSAGE_PARSER_H
--- a/cyclamenwind/http/pooled_client.h
+++ b/cyclamenwind/http/pooled_client.h
@@ -14,8 +14,7 @@
 // other requests. If responses without a declared length take the memory that
 // each of them waits for, the largest fails after MaxMemoryWait.
 //
-// If a
-// request on a reused connection times out or the connection is lost, the
+// If a request on a reused connection times out or the connection is lost, the
 // connections that were idle all the while are closed: what made one of them
 // fail, such as a middlebox that forgot it, may concern all.
 
@@ -46,7 +45,7 @@
   size_t MaxBufferedBytes = 64 * 1024 * 1024;
   // If set, responses are charged to it, and MaxBufferedBytes is not used: one
   // for which there is no room is not read until there is, or until its call
-  // times out. Must outlive the client.
+  // ends. Must outlive the client.
   MemoryBudget *Memory = nullptr;
   // A connection that has been idle for longer is not reused. A server may drop
   // an idle connection without notice. Requests other than GET and HEAD cannot
--- a/cyclamenwind/mesh/endpoint_directory.cpp
+++ b/cyclamenwind/mesh/endpoint_directory.cpp
@@ -52,8 +52,8 @@
   return !Found->second.IsReplaced;
 }
 
-// Returns whether anything changed that is in force: what is merged of a server
-// that was replaced is not.
+// Returns whether that changed anything for users of the directory: a record of
+// a server that was replaced does not.
 bool EndpointDirectory::insert(const MeshEndpoint &Record) {
   auto [Position, IsNew] = Entries.try_emplace(Record.Id);
   Entry &Known = Position->second;
@@ -94,17 +94,17 @@
   return "";
 }
 
-// Brings the record in force up to date.
+// Updates the server's record in Endpoints.
 void EndpointDirectory::updateEndpoint(const std::string &Id) {
   Entry &Known = Entries.at(Id);
   std::string Successor = successorOf(Known);
   if (Known.IsReplaced == Successor.empty())
     Replacements.push_back({Id, Successor});
   Known.IsReplaced = !Successor.empty();
-  MeshEndpoint &InForce = Endpoints[Id];
-  InForce = Known.Record;
+  MeshEndpoint &Visible = Endpoints[Id];
+  Visible = Known.Record;
   if (Known.IsReplaced)
-    InForce.State = EndpointState::Gone;
+    Visible.State = EndpointState::Gone;
 }
 
 std::vector<const MeshEndpoint *> EndpointDirectory::merged() const {
@@ -120,7 +120,7 @@
 }
 
 // A server that was replaced stays so after the record of its successor is
-// removed, unless that never was in force.
+// removed; one that was not is not replaced if the service is named later.
 void EndpointDirectory::remove(const std::string &Id) {
   Entries.erase(Id);
   Endpoints.erase(Id);
--- a/cyclamenwind/mesh/endpoint_directory.h
+++ b/cyclamenwind/mesh/endpoint_directory.h
@@ -29,18 +29,17 @@
 
 class EndpointDirectory {
 public:
-  // That a server was replaced by another one at its address, or no longer is.
+  // A server was replaced by another one at its address, or no longer is.
   struct Replacement {
     std::string Id;
-    std::string
-        Successor; // Its server id; empty if the server is not replaced.
+    std::string Successor; // Id of the other one; empty if no longer replaced.
   };
 
   // Sets the services that the configuration names. Before the first call, the
   // records of all services count alike.
   void setServices(std::set<std::string> Names);
 
-  // Whether the configuration, if it is known, names Service.
+  // Whether the configuration names Service; true before it is known.
   bool isNamed(const std::string &Service) const {
     return !ServicesKnown || Services.count(Service) != 0;
   }
@@ -107,7 +106,7 @@
   bool ServicesKnown = false;
   std::set<std::string> Services;
   std::map<std::string, Entry> Entries;
-  // The records as they are in force: those of replaced servers are Gone.
+  // What all() returns.
   std::map<std::string, MeshEndpoint> Endpoints;
   std::vector<Replacement> Replacements;
 };
--- a/cyclamenwind/mesh/local_server_registry.h
+++ b/cyclamenwind/mesh/local_server_registry.h
@@ -8,11 +8,11 @@
 // address of another server (endpoint_directory.h). Records of such services
 // are withdrawn, here and on the platform, when their reports cease.
 //
-// A server leaves by reporting that it is draining, by deregistering,
-// or by saying so in its responses. Such a message is acknowledged when the
-// server's record is written to the platform or, if the platform does not
-// answer, after AckTimeout: from then on this process sends the server no
-// further requests, and peers have been sent the record.
+// A server leaves by reporting that it is draining, by deregistering, or by
+// saying so in its responses. Such a message is acknowledged when the server's
+// record is written to the platform or, if the platform does not answer, after
+// AckTimeout: from then on this process sends the server no further requests,
+// and peers have been sent the record.
 //
 // The next process of this daemon must not send any either, however this one
 // ends and whether or not the record was written. It reads the records of the
--- a/testing/mesh_processes.py
+++ b/testing/mesh_processes.py
@@ -256,13 +256,19 @@
                 request = await read_message(reader)
                 if request is None or not request.whole:
                     break
-                writer.write(await self.answer(request))
-                await writer.drain()
+                if not await self.respond(writer, request):
+                    break
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    async def respond(self, writer, request):
+        """Returns whether the connection stays open."""
+        writer.write(await self.answer(request))
+        await writer.drain()
+        return True
+
     async def answer(self, request):
         method, target, _ = request.first.split(" ")
         if target == "/health":
@@ -463,6 +469,22 @@
                 f" descriptors {self.peak_descriptors}")
 
 
+def resource_failures(machines, memory_mb, max_fds, memory_factor):
+    """Returns a text for each bound that a daemon has broken."""
+    found = []
+    limit = memory_mb * memory_factor * BYTES_PER_MB
+    for machine in machines:
+        machine.sample()
+        if not machine.alive():
+            found.append(f"{machine.name} has ended")
+        if max(machine.peak_resident, machine.peak_bytes) > limit:
+            found.append(f"{machine.name} took more than {memory_mb} MB x "
+                         f"{memory_factor}")
+        if machine.peak_descriptors > max_fds - RESERVED_DESCRIPTORS:
+            found.append(f"{machine.name} opened too many descriptors")
+    return found
+
+
 def unread_bytes(sockets):
     """Sum of the receive queues of the sockets with these inodes."""
     total = 0
--- a/tests/endless_responses.py
+++ b/tests/endless_responses.py
@@ -113,20 +113,13 @@
         writer.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
         writer.transport.set_write_buffer_limits(high=PIECE_BYTES)
-        try:
-            while True:
-                request = await mesh.read_message(reader)
-                if request is None or not request.whole:
-                    break
-                if self.is_endless(request):
-                    await self.send_endless(writer, request)
-                    break
-                writer.write(await self.answer(request))
-                await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
+        await super().serve(reader, writer)
+
+    async def respond(self, writer, request):
+        if not self.is_endless(request):
+            return await super().respond(writer, request)
+        await self.send_endless(writer, request)
+        return False
 
     def is_endless(self, request):
         target = request.first.split(" ")[1]
@@ -268,21 +261,6 @@
     return condition()
 
 
-def resource_failures(machines, memory_factor):
-    found = []
-    limit = MEMORY_MB * memory_factor * mesh.BYTES_PER_MB
-    for machine in machines:
-        machine.sample()
-        if not machine.alive():
-            found.append(f"{machine.name} has ended")
-        if max(machine.peak_resident, machine.peak_bytes) > limit:
-            found.append(f"{machine.name} took more than {MEMORY_MB} MB x "
-                         f"{memory_factor}")
-        if machine.peak_descriptors > MAX_FDS - mesh.RESERVED_DESCRIPTORS:
-            found.append(f"{machine.name} opened too many descriptors")
-    return found
-
-
 async def play(world, name, memory_factor):
     faulty, kind = world.faulty, KINDS[name]
     faulty.kind, faulty.begun, faulty.most_sent = kind, 0, 0
@@ -295,7 +273,8 @@
     if faulty.most_sent > kind.most_bytes():
         found.append(f"the server sent {faulty.most_sent} bytes, at most "
                      f"{kind.most_bytes()} are of use")
-    return found + resource_failures(world.machines, memory_factor)
+    return found + mesh.resource_failures(world.machines, MEMORY_MB, MAX_FDS,
+                                          memory_factor)
 
 
 async def run(arguments):
--- a/tests/untrusted_callers.py
+++ b/tests/untrusted_callers.py
@@ -162,22 +162,6 @@
                 await asyncio.gather(reading, return_exceptions=True)
 
 
-def failures(machines, memory_factor):
-    found = []
-    limit = MEMORY_MB * memory_factor * mesh.BYTES_PER_MB
-    for machine in machines:
-        machine.sample()
-        print(machine.describe(), flush=True)
-        if not machine.alive():
-            found.append(f"{machine.name} has ended")
-        if max(machine.peak_resident, machine.peak_bytes) > limit:
-            found.append(f"{machine.name} took more than {MEMORY_MB} MB x "
-                         f"{memory_factor}")
-        if machine.peak_descriptors > MAX_FDS - mesh.RESERVED_DESCRIPTORS:
-            found.append(f"{machine.name} opened too many descriptors")
-    return found
-
-
 async def ordinary_request(machine):
     end = time.monotonic() + ANSWER_SECONDS
     while time.monotonic() < end:
@@ -216,7 +200,10 @@
         found = []
         if not await ordinary_request(senders[0]):
             found.append("an ordinary request was not answered")
-        found += failures(world.machines, arguments.memory_factor)
+        found += mesh.resource_failures(world.machines, MEMORY_MB, MAX_FDS,
+                                        arguments.memory_factor)
+        for machine in world.machines:
+            print(machine.describe(), flush=True)
         for text in found:
             print(f"FAILED {arguments.case}: {text}")
         return 1 if found else 0
