--- a/review/standin-3/bench.py
+++ b/review/standin-3/bench.py
@@ -110,10 +110,13 @@
 
     def outcome(self, attempt, status=200):
         self.record.write(self.name, "answers", id=attempt, status=status)
+        # A server that leaves says so in all its answers (news pages).
+        leaving = [("Server-Leaving", "1")] if self.leaving else []
         return mesh.format_answer(
             status, [("Date", "Mon, 07 Dec 2026 12:00:00 GMT"),
                      ("Cyclamenwind-Attempt-Id", attempt),
-                     ("Cyclamenwind-Response-Signature", f"3e1b.{self.id}.{status}")],
+                     ("Cyclamenwind-Response-Signature", f"3e1b.{self.id}.{status}"),
+                     *leaving],
             f"{status} from {self.id} to {attempt}".encode())
 
     @staticmethod
